--- /dev/null
+++ b/crates/cumin-core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Commands of both binaries.
--- /dev/null
+++ b/crates/cumin-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! See docs/design.md; the crate has no content yet.
--- /dev/null
+++ b/src/bin/cuminctl.rs
@@ -0,0 +1,2 @@
+//! Tool.
+fn main() {}
--- /dev/null
+++ b/src/bin/cuminladder.rs
@@ -0,0 +1,2 @@
+//! Node.
+fn main() {}
