Add cumin-http: bounded HTTP/1.1 serving with a drain

Node and stand-ins both need an accept loop on the calling actix-rt system that can stop accepting, wait for open connections, or close all of them as a crash would. actix-http has none of its own below actix-server, which runs handlers on other threads.

--- /dev/null
+++ b/crates/cumin-http/src/lib.rs
@@ -0,0 +1,185 @@
+//! Serves HTTP/1.1 on one address with bounded connections and a drain.
+//!
+//! The accept loop and every connection run as local tasks of the calling `actix-rt` system, so
+//! handlers may use state that is not `Send`. The node and the stand-ins share it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Error, HttpService, KeepAlive, Request, Response};
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_service::{Service, ServiceFactory, fn_service};
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+/// Answers one request.
+pub type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Connections open at once; further ones are closed on arrival.
+    pub connections: usize,
+    /// Time that a sender has for a request's head.
+    pub head: Duration,
+    /// Time that an idle connection is kept.
+    pub idle: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            head: Duration::from_secs(10),
+            idle: Duration::from_secs(30),
+        }
+    }
+}
+
+/// A running server. Dropping it closes everything.
+pub struct Server {
+    address: SocketAddr,
+    accept: AbortHandle,
+    open: Rc<Open>,
+}
+
+#[derive(Default)]
+struct Open {
+    next: Cell<u64>,
+    tasks: RefCell<HashMap<u64, AbortHandle>>,
+    closed: Notify,
+}
+
+impl Open {
+    fn track(self: &Rc<Self>, serve: impl Future<Output = ()> + 'static) {
+        let id = self.next.replace(self.next.get() + 1);
+        let open = Rc::clone(self);
+        let task = actix_rt::spawn(async move {
+            serve.await;
+            open.tasks.borrow_mut().remove(&id);
+            open.closed.notify_waiters();
+        });
+        self.tasks.borrow_mut().insert(id, task.abort_handle());
+    }
+}
+
+impl Server {
+    /// Binds `address` and starts to serve with `handler`.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub fn bind(address: SocketAddr, options: Options, handler: Handler) -> io::Result<Self> {
+        let listener = StdListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let address = listener.local_addr()?;
+        let open = Rc::new(Open::default());
+        let task = actix_rt::spawn(accept(listener, options, handler, Rc::clone(&open)));
+        Ok(Self {
+            address,
+            accept: task.abort_handle(),
+            open,
+        })
+    }
+
+    /// Returns the bound address, with the port that the system chose.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.open.tasks.borrow().len()
+    }
+
+    /// Stops accepting; open connections continue.
+    pub fn refuse(&self) {
+        self.accept.abort();
+    }
+
+    /// Closes the listener and every connection at once, as a crash would.
+    pub fn abort(&self) {
+        self.accept.abort();
+        for (_, task) in self.open.tasks.borrow_mut().drain() {
+            task.abort();
+        }
+        self.open.closed.notify_waiters();
+    }
+
+    /// Completes when no connection is open.
+    pub async fn drained(&self) {
+        loop {
+            let closed = self.open.closed.notified();
+            if self.connections() == 0 {
+                return;
+            }
+            closed.await;
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, options: Options, handler: Handler, open: Rc<Open>) {
+    let factory = HttpService::build()
+        .client_request_timeout(options.head)
+        .keep_alive(KeepAlive::Timeout(options.idle))
+        .h1(fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<_, Error>(answer.await) }
+        }))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        log::error!("event=http_service_failed");
+        return;
+    };
+    let service = Rc::new(service);
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                if open.tasks.borrow().len() >= options.connections {
+                    log::warn!(
+                        "event=connection_refused peer={peer} limit={}",
+                        options.connections
+                    );
+                    continue;
+                }
+                serve(&service, stream, peer, &open);
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error={error:?}");
+                // Out of descriptors: accepting again at once would spin.
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+fn serve<S>(service: &Rc<S>, stream: TcpStream, peer: SocketAddr, open: &Rc<Open>)
+where
+    S: Service<TcpStream, Response = ()> + 'static,
+    S::Error: std::fmt::Debug,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=nodelay_failed peer={peer} error={error:?}");
+    }
+    let service = Rc::clone(service);
+    open.track(async move {
+        if let Err(error) = service.call(stream).await {
+            log::debug!("event=connection_failed peer={peer} error={error:?}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/cumin-http/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP server over real sockets.
+
+mod drain;
