--- /dev/null
+++ b/crates/cumin-request/src/run.rs
@@ -0,0 +1,271 @@
+//! The owner's side of a request: attempts and their frames.
+
+use cumin_types::{AttemptId, Call, Descriptor, EndpointName, Outcome, Position, Repeat};
+use derive_more::Display;
+
+use crate::{Counts, Finish, Transcript};
+
+/// A request that this node runs.
+#[derive(Clone, Debug)]
+pub struct Run {
+    descriptor: Descriptor,
+    transcript: Transcript,
+    attempt: Option<Attempt>,
+    tried: Vec<EndpointName>,
+    dropped: Dropped,
+    // Whether a byte of any attempt, or of any before the current one, can have reached an endpoint.
+    reached: bool,
+    before: bool,
+    finish: Option<Finish>,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    id: AttemptId,
+    endpoint: EndpointName,
+}
+
+/// Frames that did not become part of the answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// Frames of an attempt that is not the current one.
+    pub stale: u64,
+    /// Frames of tokens that are already in the answer.
+    pub duplicate: u64,
+    /// Frames past the next token.
+    pub gap: u64,
+}
+
+/// What became of a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Frame {
+    /// The token is part of the answer.
+    Accepted,
+    /// Another attempt's frame, dropped.
+    Stale,
+    /// The token is already there, dropped.
+    Duplicate,
+    /// Tokens are missing before it; the attempt can't be continued.
+    Gap,
+}
+
+/// Why an attempt ended without the whole answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Broke {
+    /// No connection, so no byte left this node.
+    #[display("not_connected")]
+    NotConnected,
+    /// The endpoint said that it did not start.
+    #[display("not_started")]
+    NotStarted,
+    /// The endpoint answered that the request itself is wrong.
+    #[display("rejected_{status}")]
+    Rejected {
+        /// HTTP status, 4xx.
+        status: u16,
+    },
+    /// The endpoint answered with a server error.
+    #[display("status_{status}")]
+    Status {
+        /// HTTP status, 5xx.
+        status: u16,
+    },
+    /// The connection broke after the first byte was sent.
+    #[display("broken")]
+    Broken,
+    /// No frame arrived for the stall time.
+    #[display("stalled")]
+    Stalled,
+    /// The endpoint is leaving and the request moves.
+    #[display("moved")]
+    Moved,
+    /// Frames were missing.
+    #[display("gap")]
+    Gap,
+}
+
+impl Broke {
+    /// Returns true when nothing of the attempt can have run.
+    #[must_use]
+    pub fn harmless(&self) -> bool {
+        matches!(self, Self::NotConnected | Self::NotStarted)
+    }
+}
+
+/// What follows the end of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The request may go on at another endpoint, if the retry budget allows.
+    Retry,
+    /// The request ends so.
+    Finish(Finish),
+    /// The attempt was not the current one.
+    Ignore,
+}
+
+impl Run {
+    /// Makes a run that starts, or goes on after `transcript`.
+    #[must_use]
+    pub fn new(descriptor: Descriptor, transcript: Transcript) -> Self {
+        // A run that took over can't know what its predecessor sent.
+        let reached = descriptor.epoch.0 > 0;
+        Self {
+            descriptor,
+            transcript,
+            attempt: None,
+            tried: Vec::new(),
+            dropped: Dropped::default(),
+            reached,
+            before: reached,
+            finish: None,
+        }
+    }
+
+    /// Returns the descriptor.
+    #[must_use]
+    pub fn descriptor(&self) -> &Descriptor {
+        &self.descriptor
+    }
+
+    /// Returns the tokens so far.
+    #[must_use]
+    pub fn transcript(&self) -> &Transcript {
+        &self.transcript
+    }
+
+    /// Returns the endpoints tried, oldest first.
+    #[must_use]
+    pub fn tried(&self) -> &[EndpointName] {
+        &self.tried
+    }
+
+    /// Returns the endpoint of the current attempt.
+    #[must_use]
+    pub fn endpoint(&self) -> Option<&EndpointName> {
+        self.attempt.as_ref().map(|attempt| &attempt.endpoint)
+    }
+
+    /// Returns the current attempt.
+    #[must_use]
+    pub fn attempt(&self) -> Option<AttemptId> {
+        self.attempt.as_ref().map(|attempt| attempt.id)
+    }
+
+    /// Returns how many frames were dropped.
+    #[must_use]
+    pub fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+
+    /// Returns how the request ended, when it did.
+    #[must_use]
+    pub fn finish(&self) -> Option<&Finish> {
+        self.finish.as_ref()
+    }
+
+    /// Returns true when the call may be dispatched at most once.
+    #[must_use]
+    pub fn once(&self) -> bool {
+        matches!(
+            self.descriptor.call,
+            Call::Plain {
+                repeat: Repeat::Once(_),
+                ..
+            }
+        )
+    }
+
+    /// Begins an attempt and returns the position that it starts from.
+    ///
+    /// # Panics
+    /// When the request has ended, or a call that may run once was already dispatched.
+    pub fn begin(&mut self, id: AttemptId, endpoint: EndpointName) -> Position {
+        assert!(
+            self.finish.is_none(),
+            "an attempt after the end of request {}",
+            self.descriptor.id
+        );
+        assert!(
+            !(self.once() && self.reached),
+            "a second dispatch of the non-idempotent request {}",
+            self.descriptor.id
+        );
+        self.tried.push(endpoint.clone());
+        self.attempt = Some(Attempt { id, endpoint });
+        self.before = self.reached;
+        self.reached = true;
+        self.transcript.position()
+    }
+
+    /// Takes the frame that ends at position `end`.
+    pub fn frame(&mut self, attempt: AttemptId, end: Position, token: &str) -> Frame {
+        if self.attempt() != Some(attempt) {
+            self.dropped.stale += 1;
+            return Frame::Stale;
+        }
+        let held = self.transcript.position();
+        if end <= held {
+            self.dropped.duplicate += 1;
+            return Frame::Duplicate;
+        }
+        if end > held.plus(1) {
+            self.dropped.gap += 1;
+            return Frame::Gap;
+        }
+        self.transcript.push(token);
+        Frame::Accepted
+    }
+
+    /// Ends the request with the whole answer of `attempt`; false when it is not the current one.
+    pub fn complete(&mut self, attempt: AttemptId, finish: Finish) -> bool {
+        if self.attempt() != Some(attempt) || self.finish.is_some() {
+            self.dropped.stale += 1;
+            return false;
+        }
+        self.attempt = None;
+        self.finish = Some(finish);
+        true
+    }
+
+    /// Ends an attempt that gave no whole answer.
+    pub fn broke(&mut self, attempt: AttemptId, cause: &Broke) -> Next {
+        if self.attempt() != Some(attempt) {
+            return Next::Ignore;
+        }
+        self.attempt = None;
+        if cause.harmless() {
+            self.reached = self.before;
+        }
+        match cause {
+            Broke::Rejected { .. } => self.stop(&cause.to_string()),
+            _ if self.once() && self.reached => self.stop(&cause.to_string()),
+            _ => Next::Retry,
+        }
+    }
+
+    fn stop(&mut self, reason: &str) -> Next {
+        Next::Finish(self.give_up(reason))
+    }
+
+    /// Ends the request without the whole answer, with the outcome that is certain.
+    pub fn give_up(&mut self, reason: &str) -> Finish {
+        if let Some(finish) = &self.finish {
+            return finish.clone();
+        }
+        let outcome = if !self.reached {
+            Outcome::NotRun
+        } else if self.once() {
+            Outcome::Unknown
+        } else {
+            Outcome::Failed
+        };
+        let mut finish = Finish::without(outcome, reason);
+        finish.counts = Counts {
+            completion: self.transcript.position().0,
+            ..Counts::default()
+        };
+        self.attempt = None;
+        self.finish = Some(finish.clone());
+        finish
+    }
+}
--- /dev/null
+++ b/crates/cumin-request/src/transcript.rs
@@ -0,0 +1,77 @@
+//! The tokens of an answer, by position.
+
+use cumin_types::Position;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// The tokens generated so far, in one buffer with the end of each token.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transcript {
+    text: String,
+    ends: Vec<u32>,
+}
+
+/// A position lies past the tokens that are here.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("position {asked} is past the {held} tokens held")]
+pub struct Gap {
+    /// The position asked for.
+    pub asked: Position,
+    /// The number of tokens here.
+    pub held: Position,
+}
+
+impl Transcript {
+    /// Returns the number of tokens.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        Position(self.ends.len() as u64)
+    }
+
+    /// Returns the whole text.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Adds one token.
+    ///
+    /// # Panics
+    /// When the text grows past 4 GiB; the node bounds an answer far below.
+    pub fn push(&mut self, token: &str) {
+        self.text.push_str(token);
+        self.ends
+            .push(u32::try_from(self.text.len()).expect("an answer under 4 GiB"));
+    }
+
+    /// Returns the tokens from `from` on.
+    ///
+    /// # Errors
+    /// When `from` is past the last token.
+    pub fn since(&self, from: Position) -> Result<impl Iterator<Item = &str>, Gap> {
+        let gap = Gap {
+            asked: from,
+            held: self.position(),
+        };
+        let skip = usize::try_from(from.0).map_err(|_| gap)?;
+        if skip > self.ends.len() {
+            return Err(gap);
+        }
+        Ok((skip..self.ends.len()).map(|index| self.token(index)))
+    }
+
+    fn token(&self, index: usize) -> &str {
+        let start = if index == 0 {
+            0
+        } else {
+            self.ends[index - 1] as usize
+        };
+        &self.text[start..self.ends[index] as usize]
+    }
+
+    /// Returns the memory in use, bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.text.len() + self.ends.len() * size_of::<u32>()
+    }
+}
