--- /dev/null
+++ b/crates/cumin-node/src/explain.rs
@@ -0,0 +1,56 @@
+//! Decisions with their reasons: a log line each, and a bounded memory for `explain`.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::fmt::Display;
+
+use cumin_types::WallMillis;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::wall;
+
+/// Decisions kept.
+const KEPT: usize = 20_000;
+
+/// One decision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// When it was made.
+    pub at: WallMillis,
+    /// The request, endpoint, instance or node that it is about.
+    pub subject: String,
+    /// What was decided, such as `route` or `second`.
+    pub kind: String,
+    /// Inputs and alternatives, `key=value` pairs.
+    pub reasons: String,
+}
+
+/// The latest decisions of this node.
+#[derive(Default)]
+pub(crate) struct Decisions {
+    kept: RefCell<VecDeque<Decision>>,
+}
+
+impl Decisions {
+    /// Logs a decision and keeps it.
+    pub(crate) fn note(&self, kind: &str, subject: &impl Display, reasons: &impl Display) {
+        let decision = Decision {
+            at: wall(),
+            subject: subject.to_string(),
+            kind: kind.into(),
+            reasons: reasons.to_string(),
+        };
+        log::info!(target: "decision", "decision={kind} subject={subject} {reasons}");
+        let mut kept = self.kept.borrow_mut();
+        if kept.len() == KEPT {
+            kept.pop_front();
+        }
+        kept.push_back(decision);
+    }
+
+    /// Returns the decisions about `subject`, oldest first.
+    pub(crate) fn about(&self, subject: &str) -> Vec<Decision> {
+        let kept = self.kept.borrow();
+        kept.iter().filter(|decision| decision.subject == subject).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -0,0 +1,44 @@
+//! The methods that nodes offer each other.
+
+use cumin_request::{Ack, Given, Progress, Refused};
+use cumin_types::{Epoch, NodeName, Position, RequestId};
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use serde::{Deserialize, Serialize};
+
+/// What a node knows of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Found {
+    /// The epoch that the node has.
+    pub epoch: Epoch,
+    /// The number of tokens that the node has.
+    pub position: Position,
+    /// True when the request has ended.
+    pub done: bool,
+    /// True when the node runs it.
+    pub owner: bool,
+}
+
+/// Methods between nodes.
+#[rpc(server, client)]
+pub trait Peer {
+    /// Asks the node to be the second of a request.
+    #[method(name = "request_hold")]
+    async fn hold(&self, given: Given) -> RpcResult<Result<(), Refused>>;
+
+    /// Sends new tokens of requests that the node is the second of.
+    #[method(name = "request_progress")]
+    async fn progress(&self, batch: Vec<Progress>) -> RpcResult<Vec<Ack>>;
+
+    /// Asks what the node knows of a request.
+    #[method(name = "request_find")]
+    async fn find(&self, id: RequestId) -> RpcResult<Option<Found>>;
+
+    /// Takes a request over; its owner is superseded.
+    #[method(name = "request_take")]
+    async fn take(&self, id: RequestId, taker: NodeName) -> RpcResult<Option<Given>>;
+
+    /// Hands requests over that the sender no longer runs.
+    #[method(name = "request_give")]
+    async fn give(&self, given: Vec<Given>) -> RpcResult<Vec<bool>>;
+}
--- /dev/null
+++ b/crates/cumin-node/src/request.rs
@@ -0,0 +1,12 @@
+//! Requests on this node: the table of those it runs, replication to second nodes, attempts.
+
+mod completion;
+mod engine;
+mod live;
+mod plain;
+mod replica;
+mod takeover;
+
+pub(crate) use live::{Command, Live, Table};
+pub(crate) use replica::{Replicas, place_second};
+pub(crate) use takeover::{find, release, start, take_over};
--- /dev/null
+++ b/crates/cumin-node/src/request/engine.rs
@@ -0,0 +1,131 @@
+//! One attempt at a model engine: sends the request and reads its frames.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use bytes::Bytes;
+use cumin_request::{Broke, Counts, Transcript};
+use cumin_types::{AttemptId, Descriptor, Millis, Position};
+use cumin_wire::completion::{Chunk, Request, Resume};
+use cumin_wire::{header, sse};
+use futures_util::{Stream, StreamExt};
+
+/// What an engine sends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Event {
+    /// One token.
+    Token { attempt: Option<AttemptId>, end: Position, text: String },
+    /// The whole answer was sent.
+    End { attempt: Option<AttemptId>, reason: String, counts: Counts },
+}
+
+/// A stream of events from an engine.
+pub(crate) struct Events {
+    body: Pin<Box<dyn Stream<Item = Result<Bytes, awc::error::PayloadError>>>>,
+    reader: sse::Reader,
+    expected: Position,
+}
+
+/// Where and how an attempt is made.
+pub(crate) struct Options<'a> {
+    pub(crate) client: &'a awc::Client,
+    pub(crate) address: SocketAddr,
+    pub(crate) descriptor: &'a Descriptor,
+    pub(crate) transcript: &'a Transcript,
+    pub(crate) attempt: AttemptId,
+    pub(crate) left: Millis,
+    pub(crate) chat: bool,
+}
+
+/// Sends the request; the engine goes on after the tokens in the transcript.
+pub(crate) async fn open(options: Options<'_>) -> Result<Events, Broke> {
+    // The caller's body was parsed before it was accepted.
+    let mut body: Request = serde_json::from_str(&options.descriptor.body)
+        .map_err(|_| Broke::Rejected { status: 400 })?;
+    body.stream = true;
+    let from = options.transcript.position();
+    if from > Position(0) {
+        let text = options.transcript.text().to_owned();
+        body.resume = Some(Resume { text, position: from.0 });
+    }
+    let path = if options.chat { "chat/completions" } else { "completions" };
+    let answer = options
+        .client
+        .post(format!("http://{}/v1/{path}", options.address))
+        .insert_header((header::REQUEST_ID, options.descriptor.id.to_string()))
+        .insert_header((header::ATTEMPT_ID, options.attempt.to_string()))
+        .insert_header((header::PRIORITY, options.descriptor.priority.to_string()))
+        .insert_header((header::DEADLINE_MS, options.left.to_string()))
+        .send_json(&body)
+        .await
+        .map_err(|error| broke(&error))?;
+    let status = answer.status().as_u16();
+    if status == 200 {
+        return Ok(Events { body: Box::pin(answer), reader: sse::Reader::default(), expected: from });
+    }
+    Err(refusal(status, answer.headers().contains_key(header::NOT_STARTED)))
+}
+
+/// Says what a status other than 200 means.
+pub(crate) fn refusal(status: u16, unstarted: bool) -> Broke {
+    match status {
+        _ if unstarted => Broke::NotStarted,
+        400..=499 if status != 429 => Broke::Rejected { status },
+        _ => Broke::Status { status },
+    }
+}
+
+/// Says whether a byte can have reached the endpoint.
+pub(crate) fn broke(error: &awc::error::SendRequestError) -> Broke {
+    match error {
+        awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_) => {
+            Broke::NotConnected
+        }
+        _ => Broke::Broken,
+    }
+}
+
+impl Events {
+    /// Returns the next event.
+    pub(crate) async fn next(&mut self) -> Result<Event, Broke> {
+        loop {
+            while let Some(event) = self.reader.next_event().map_err(|_| Broke::Broken)? {
+                if event.data == "[DONE]" {
+                    continue;
+                }
+                if let Some(event) = self.parse(&event)? {
+                    return Ok(event);
+                }
+            }
+            match self.body.next().await {
+                Some(Ok(bytes)) => self.reader.push(&bytes).map_err(|_| Broke::Broken)?,
+                Some(Err(_)) | None => return Err(Broke::Broken),
+            }
+        }
+    }
+
+    fn parse(&mut self, event: &sse::Event) -> Result<Option<Event>, Broke> {
+        let chunk: Chunk = serde_json::from_str(&event.data).map_err(|_| Broke::Broken)?;
+        let attempt = chunk.attempt.as_deref().and_then(|id| id.parse().ok());
+        if let Some(reason) = chunk.finish() {
+            let usage = chunk.usage.unwrap_or_default();
+            let counts = Counts {
+                prompt: usage.prompt_tokens,
+                completion: usage.completion_tokens,
+                cached: usage.cached_tokens,
+            };
+            return Ok(Some(Event::End { attempt, reason: reason.into(), counts }));
+        }
+        if chunk.content().is_empty() {
+            return Ok(None);
+        }
+        // An engine that numbers no events sends one token an event, in order.
+        let end = match event.id.as_deref().map(str::parse) {
+            Some(Ok(end)) => Position(end),
+            Some(Err(_)) => return Err(Broke::Broken),
+            None => self.expected.plus(1),
+        };
+        self.expected = end;
+        Ok(Some(Event::Token { attempt, end, text: chunk.content().into() }))
+    }
+}
--- /dev/null
+++ b/crates/cumin-node/src/request/replica.rs
@@ -0,0 +1,176 @@
+//! Sends tokens to second nodes before callers see them.
+//!
+//! One lane a second node: while a batch is under way the next collects, so batches grow with
+//! load and no timer is needed. A second that does not answer is replaced by the next node in
+//! the request's order, which gets the whole request.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+use cumin_request::{Ack, Progress};
+use cumin_types::{NodeName, RequestId};
+
+use super::Live;
+use crate::member::Member;
+use crate::node::Ctx;
+use crate::peer::PeerClient;
+
+/// Nodes asked to be the second of a request before it goes on without one.
+const SECOND_TRIES: usize = 3;
+
+/// Replication to other nodes, by node.
+#[derive(Default)]
+pub(crate) struct Replicas {
+    lanes: RefCell<HashMap<NodeName, Rc<Lane>>>,
+}
+
+struct Lane {
+    to: Member,
+    dirty: RefCell<BTreeSet<RequestId>>,
+    busy: Cell<bool>,
+}
+
+impl Replicas {
+    /// Has the new tokens of `live` sent to its second.
+    pub(crate) fn dirty(&self, ctx: &Rc<Ctx>, live: &Live) {
+        let Some(second) = live.second() else {
+            let run = live.run.borrow();
+            live.confirm(run.transcript().position(), run.finish().is_some());
+            return;
+        };
+        let lane = self.lane(second);
+        lane.dirty.borrow_mut().insert(live.id);
+        if !lane.busy.replace(true) {
+            let ctx = Rc::clone(ctx);
+            actix_rt::spawn(async move {
+                flush(&ctx, &lane).await;
+                lane.busy.set(false);
+            });
+        }
+    }
+
+    fn lane(&self, to: Member) -> Rc<Lane> {
+        let mut lanes = self.lanes.borrow_mut();
+        let lane = lanes.entry(to.name.clone()).or_insert_with(|| {
+            Rc::new(Lane { to: to.clone(), dirty: RefCell::default(), busy: Cell::default() })
+        });
+        if lane.to.rpc != to.rpc {
+            *lane = Rc::new(Lane { to, dirty: RefCell::default(), busy: Cell::default() });
+        }
+        Rc::clone(lane)
+    }
+}
+
+async fn flush(ctx: &Rc<Ctx>, lane: &Lane) {
+    loop {
+        let ids = std::mem::take(&mut *lane.dirty.borrow_mut());
+        if ids.is_empty() {
+            return;
+        }
+        let lives: Vec<_> = ids
+            .into_iter()
+            .filter_map(|id| ctx.table.get(id))
+            .filter(|live| !live.superseded())
+            .filter(|live| live.second().is_some_and(|second| second.name == lane.to.name))
+            .collect();
+        let batch: Vec<_> = lives.iter().map(|live| progress(live)).collect();
+        if batch.is_empty() {
+            continue;
+        }
+        ctx.metrics.replica_batches.inc();
+        let sealed: Vec<_> = batch.iter().map(|progress| progress.finish.is_some()).collect();
+        let answer = match ctx.client.to(lane.to.rpc) {
+            Ok(client) => client.progress(batch).await,
+            Err(error) => Err(error),
+        };
+        match answer {
+            Ok(acks) => {
+                for ((live, sealed), ack) in lives.iter().zip(sealed).zip(acks) {
+                    settle(ctx, lane, live, sealed, ack).await;
+                }
+            }
+            Err(error) => {
+                log::warn!("event=second_unreachable node={} error={error:?}", lane.to.name);
+                for live in &lives {
+                    replace(ctx, live, &lane.to, "unreachable").await;
+                }
+            }
+        }
+    }
+}
+
+fn progress(live: &Live) -> Progress {
+    let run = live.run.borrow();
+    let from = live.acked();
+    let tokens = run.transcript().since(from).map(|tokens| tokens.map(str::to_owned).collect());
+    Progress {
+        id: live.id,
+        epoch: run.descriptor().epoch,
+        from,
+        tokens: tokens.unwrap_or_default(),
+        finish: run.finish().cloned(),
+    }
+}
+
+async fn settle(ctx: &Rc<Ctx>, lane: &Lane, live: &Live, sealed: bool, ack: Ack) {
+    match ack {
+        Ack::Stored(position) => live.confirm(position, sealed),
+        Ack::Superseded(epoch) => {
+            let reasons = format!("by={} epoch={epoch}", lane.to.name);
+            ctx.decisions.note("superseded", &live.id, &reasons);
+            live.supersede();
+        }
+        Ack::Resend(_) | Ack::Missing => replace(ctx, live, &lane.to, "lost").await,
+    }
+}
+
+/// Finds a new second after `old` failed to hold the request.
+async fn replace(ctx: &Rc<Ctx>, live: &Live, old: &Member, why: &str) {
+    // A node that lost the request, as after a restart, can hold it again.
+    let avoid = if why == "lost" { None } else { Some(&old.name) };
+    place_second(ctx, live, avoid).await;
+    if !live.superseded() {
+        ctx.replicas.dirty(ctx, live);
+    }
+}
+
+/// Has the request held by a second node, the first in its order that takes it.
+pub(crate) async fn place_second(ctx: &Rc<Ctx>, live: &Live, avoid: Option<&NodeName>) {
+    let order = ctx.members.order(live.id);
+    let tried = order.iter().filter(|member| Some(&member.name) != avoid).take(SECOND_TRIES);
+    for member in tried {
+        let given = live.given(ctx.clock.now());
+        let (held, sealed) = (given.transcript.position(), given.finish.is_some());
+        let answer = match ctx.client.to(member.rpc) {
+            Ok(client) => client.hold(given).await,
+            Err(error) => Err(error),
+        };
+        match answer {
+            Ok(Ok(())) => {
+                let reasons = format!("node={} place={} held={held}", member.name, member.place);
+                ctx.decisions.note("second", &live.id, &reasons);
+                live.set_second(Some(member.clone()), held, sealed);
+                return;
+            }
+            Ok(Err(cumin_request::Refused::Superseded { epoch })) => {
+                ctx.decisions.note("superseded", &live.id, &format!("by={} epoch={epoch}", member.name));
+                live.supersede();
+                return;
+            }
+            Ok(Err(refused)) => {
+                log::warn!("event=second_refused node={} error={refused:?}", member.name);
+            }
+            Err(error) => {
+                log::warn!("event=second_unreachable node={} error={error:?}", member.name);
+            }
+        }
+    }
+    ctx.decisions.note("second", &live.id, &format!("node=none candidates={}", order.len()));
+    ctx.metrics.unheld.inc();
+    let (position, sealed) = {
+        let run = live.run.borrow();
+        (run.transcript().position(), run.finish().is_some())
+    };
+    live.set_second(None, position, sealed);
+}
--- /dev/null
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -0,0 +1,137 @@
+//! Starts requests, finds them on other nodes, and takes them over.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cumin_request::Given;
+use cumin_types::{Call, RequestId};
+use futures_util::future::join_all;
+
+use super::{Live, completion, plain, replica};
+use crate::member::Member;
+use crate::node::Ctx;
+use crate::peer::{Found, PeerClient};
+
+/// Nodes asked first for a request that is not here.
+const FIRST_ASKED: usize = 3;
+/// Time that the last tokens may take to the second node before the request is given to it whole.
+const SEAL_WAIT: Duration = Duration::from_secs(5);
+
+/// Runs a request that its second node holds.
+pub(crate) fn start(ctx: &Rc<Ctx>, live: Rc<Live>) {
+    ctx.table.insert(Rc::clone(&live));
+    ctx.metrics.running.inc();
+    let ctx = Rc::clone(ctx);
+    actix_rt::spawn(async move {
+        let finished = live.run.borrow().finish().is_some();
+        if !finished {
+            let plain = matches!(live.run.borrow().descriptor().call, Call::Plain { .. });
+            if plain {
+                plain::run(&ctx, &live).await;
+            } else {
+                completion::run(&ctx, &live).await;
+            }
+        }
+        seal(&ctx, &live).await;
+        ctx.metrics.running.dec();
+        ctx.table.remove(live.id);
+    });
+}
+
+/// Has the end held by the second node, then keeps the result here too.
+async fn seal(ctx: &Rc<Ctx>, live: &Rc<Live>) {
+    if live.superseded() {
+        return;
+    }
+    ctx.replicas.dirty(ctx, live);
+    let sealed = async {
+        loop {
+            let changed = live.changed();
+            if live.sealed().is_some() || live.superseded() {
+                return;
+            }
+            changed.await;
+        }
+    };
+    if actix_rt::time::timeout(SEAL_WAIT, sealed).await.is_err() {
+        replica::place_second(ctx, live, None).await;
+    }
+    if live.superseded() {
+        return;
+    }
+    if let Some(finish) = live.run.borrow().finish() {
+        ctx.metrics.ended(finish.outcome);
+        log::info!(
+            "event=request_ended request={} outcome={} reason={} tokens={}",
+            live.id,
+            finish.outcome,
+            finish.reason,
+            live.run.borrow().transcript().position()
+        );
+    }
+    let now = ctx.clock.now();
+    if let Err(error) = ctx.holder.borrow_mut().hold(live.given(now), now) {
+        log::warn!("event=result_not_kept request={} error={error:?}", live.id);
+    }
+}
+
+/// Looks for a request: in the nodes that its order names first, then in all others.
+pub(crate) async fn find(ctx: &Rc<Ctx>, id: RequestId) -> Option<(Member, Found)> {
+    let order = ctx.members.everyone(id);
+    let (first, rest) = order.split_at(order.len().min(FIRST_ASKED));
+    for group in [first, rest] {
+        let best = ask(ctx, id, group)
+            .await
+            .into_iter()
+            .max_by_key(|(_, found)| (found.done, found.epoch, found.position, found.owner));
+        if best.is_some() {
+            return best;
+        }
+    }
+    None
+}
+
+async fn ask(ctx: &Rc<Ctx>, id: RequestId, group: &[Member]) -> Vec<(Member, Found)> {
+    let answers = group.iter().map(|member| async move {
+        let client = ctx.client.to(member.rpc).ok()?;
+        let found = client.find(id).await.ok()??;
+        Some((member.clone(), found))
+    });
+    join_all(answers).await.into_iter().flatten().collect()
+}
+
+/// Goes on with a request that another node gave up or lost.
+pub(crate) async fn take_over(ctx: &Rc<Ctx>, given: Given, why: &str) -> Rc<Live> {
+    let id = given.descriptor.id;
+    if let Some(live) = ctx.table.get(id) {
+        return live;
+    }
+    let reasons = format!(
+        "why={why} epoch={} position={} from={}",
+        given.descriptor.epoch,
+        given.transcript.position(),
+        given.descriptor.owner
+    );
+    ctx.decisions.note("take_over", &id, &reasons);
+    let mut descriptor = given.descriptor;
+    descriptor.owner = ctx.settings.name.clone();
+    let live = Live::new(descriptor, given.transcript, ctx.clock.now());
+    // Callers may wait on this request from now on, before its second is found.
+    ctx.table.insert(Rc::clone(&live));
+    replica::place_second(ctx, &live, None).await;
+    start(ctx, Rc::clone(&live));
+    live
+}
+
+/// Stops running a request and returns it for another node, with a raised epoch.
+pub(crate) fn release(ctx: &Rc<Ctx>, id: RequestId, taker: &cumin_types::NodeName) -> Option<Given> {
+    let live = ctx.table.get(id)?;
+    let mut given = live.given(ctx.clock.now());
+    if given.finish.is_none() {
+        given.descriptor.epoch = cumin_types::Epoch(given.descriptor.epoch.0 + 1);
+        given.descriptor.owner = taker.clone();
+        ctx.decisions.note("release", &id, &format!("to={taker}"));
+        live.supersede();
+    }
+    Some(given)
+}
--- a/crates/cumin-request/src/run.rs
+++ b/crates/cumin-request/src/run.rs
@@ -247,6 +247,12 @@
         Next::Finish(self.give_up(reason))
     }
 
+    /// Ends the request with an answer that was recorded before, of this call or an earlier one.
+    pub fn settle(&mut self, finish: Finish) {
+        self.attempt = None;
+        self.finish.get_or_insert(finish);
+    }
+
     /// Ends the request without the whole answer, with the outcome that is certain.
     pub fn give_up(&mut self, reason: &str) -> Finish {
         if let Some(finish) = &self.finish {
--- a/crates/cumin-types/src/request.rs
+++ b/crates/cumin-types/src/request.rs
@@ -103,6 +103,8 @@
         path: String,
         /// Media type of the body.
         content: Option<String>,
+        /// True when the descriptor's body is base 16, because it is not UTF-8.
+        binary: bool,
         /// Whether it may be repeated.
         repeat: Repeat,
     },
@@ -119,7 +121,7 @@
     pub service: Service,
     /// What is called.
     pub call: Call,
-    /// The caller's body, as text when it is UTF-8 and else in base 16 by the shell.
+    /// The caller's body.
     pub body: String,
     /// Urgency.
     pub priority: Priority,
