--- /dev/null
+++ b/crates/cumin-config/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of documents, settings, promotion and look-ups.
+
+mod lookup;
