--- a/crates/cumin-http/src/lib.rs
+++ b/crates/cumin-http/src/lib.rs
@@ -76,7 +76,14 @@
     /// # Errors
     /// When the address can't be bound.
     pub fn bind(address: SocketAddr, options: Options, handler: Handler) -> io::Result<Self> {
-        let listener = StdListener::bind(address)?;
+        Self::listen(StdListener::bind(address)?, options, handler)
+    }
+
+    /// Starts to serve a bound listener with `handler`.
+    ///
+    /// # Errors
+    /// When the listener can't be registered with the event loop.
+    pub fn listen(listener: StdListener, options: Options, handler: Handler) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let listener = TcpListener::from_std(listener)?;
         let address = listener.local_addr()?;
--- /dev/null
+++ b/crates/cumin-node/src/caller/plain.rs
@@ -0,0 +1,104 @@
+//! Calls of plain services.
+
+use std::rc::Rc;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{Request, Response, StatusCode};
+use cumin_config::ServiceKind;
+use cumin_request::Finish;
+use cumin_types::{
+    Call, Descriptor, Epoch, Organisation, Outcome, Priority, Repeat, RequestId, Service,
+};
+use cumin_wire::header;
+use uuid::Uuid;
+
+use super::completion::{accept, refuse, whole};
+use super::reply::Problem;
+use super::{read_body, text};
+use crate::node::Ctx;
+
+/// Answers any method on `/v1/services/{service}/{path...}`; `rest` begins with the service.
+pub(super) async fn serve(
+    ctx: &Rc<Ctx>,
+    mut request: Request,
+    org: Organisation,
+    rest: &str,
+) -> Result<Response<BoxBody>, Problem> {
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = Service::from(name);
+    let method = request.method().to_string();
+    let document = ctx.document();
+    if document.services.get(&service).is_none_or(|spec| spec.kind != ServiceKind::Plain) {
+        return Err(Problem::not_found(format!("no plain service is named {name:?}")));
+    }
+    let repeat = if document.is_idempotent(&service, &method, &format!("/{path}")) {
+        Repeat::Idempotent
+    } else {
+        Repeat::Once(key(&request)?)
+    };
+    let path = match request.uri().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    let left = super::deadline(ctx, &request)?;
+    let priority = super::priority(&request, Priority::Live)?;
+    let content = text(&request, "content-type").map(str::to_owned);
+    let limit = ctx.settings.limits.body_bytes;
+    let bytes = read_body(&mut request, limit).await.map_err(|error| refuse(error, limit))?;
+    let (body, binary) = match std::str::from_utf8(&bytes) {
+        Ok(text) => (text.to_owned(), false),
+        Err(_) => (hex::encode(&bytes), true),
+    };
+    let descriptor = Descriptor {
+        id: RequestId::now(),
+        org,
+        service,
+        call: Call::Plain { method, path, content, binary, repeat },
+        body,
+        priority,
+        left,
+        epoch: Epoch(0),
+        owner: ctx.settings.name.clone(),
+    };
+    let live = accept(ctx, descriptor).await?;
+    whole(&live).await
+}
+
+fn key(request: &Request) -> Result<Uuid, Problem> {
+    let Some(value) = text(request, header::IDEMPOTENCY_KEY) else {
+        return Err(Problem::not_run(
+            StatusCode::BAD_REQUEST,
+            "idempotency_key_missing",
+            "this call is not idempotent: send `idempotency-key` with a UUIDv7",
+        ));
+    };
+    let key = Uuid::parse_str(value).ok().filter(|key| key.get_version_num() == 7);
+    key.ok_or_else(|| {
+        Problem::not_run(
+            StatusCode::BAD_REQUEST,
+            "idempotency_key_invalid",
+            format!("idempotency-key: {value:?} is not a UUIDv7"),
+        )
+    })
+}
+
+/// Returns the answer that the plain service gave.
+pub(super) fn result(id: RequestId, finish: &Finish) -> Result<Response<BoxBody>, Problem> {
+    let Some(body) = &finish.body else {
+        return Err(Problem::ended(id, finish).outcome(Outcome::Unknown));
+    };
+    let status = StatusCode::from_u16(body.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut answer = Response::build(status);
+    answer
+        .insert_header((header::REQUEST_ID, id.to_string()))
+        .insert_header((header::OUTCOME, finish.outcome.to_string()));
+    if let Some(content) = &body.content {
+        answer.insert_header(("content-type", content.as_str()));
+    }
+    let bytes = if body.binary {
+        hex::decode(&body.text).unwrap_or_default()
+    } else {
+        body.text.clone().into_bytes()
+    };
+    Ok(answer.body(bytes.boxed()))
+}
--- /dev/null
+++ b/crates/cumin-node/src/caller/stream.rs
@@ -0,0 +1,169 @@
+//! The answer as server-sent events, as far as a second node holds it.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cumin_request::{Finish, Transcript};
+use cumin_types::{Call, Descriptor, Outcome, Position};
+use cumin_wire::completion::{Chunk, Delta};
+use cumin_wire::sse;
+use futures_util::Stream;
+use serde::Serialize;
+
+use super::completion::usage;
+use super::reply::{Problem, to_json};
+use crate::node::Ctx;
+use crate::request::{Live, Reader};
+
+/// Period of comments that show a caller, and anything between, that the stream is alive.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
+/// Where a caller goes on with its stream.
+#[derive(Serialize)]
+struct Moved {
+    entries: Vec<String>,
+}
+
+/// The last chunk of a whole answer.
+#[derive(Serialize)]
+struct Last {
+    #[serde(flatten)]
+    chunk: Chunk,
+    outcome: Outcome,
+}
+
+struct State {
+    ctx: Rc<Ctx>,
+    live: Rc<Live>,
+    descriptor: Rc<Descriptor>,
+    sent: Position,
+    ended: bool,
+    _reader: Reader,
+}
+
+/// Streams the events of `live` from position `from` on.
+pub(super) fn events(
+    ctx: &Rc<Ctx>,
+    live: Rc<Live>,
+    from: Position,
+) -> impl Stream<Item = Result<Bytes, Infallible>> + use<> {
+    let mut descriptor = live.run.borrow().descriptor().clone();
+    descriptor.body = String::new();
+    let state = State {
+        ctx: Rc::clone(ctx),
+        descriptor: Rc::new(descriptor),
+        _reader: live.reader(),
+        live,
+        sent: from,
+        ended: false,
+    };
+    futures_util::stream::unfold(state, |mut state| async move {
+        if state.ended {
+            return None;
+        }
+        let bytes = state.next().await;
+        Some((Ok(bytes.into()), state))
+    })
+}
+
+impl State {
+    async fn next(&mut self) -> Vec<u8> {
+        loop {
+            let changed = self.live.changed();
+            let out = self.ready();
+            if !out.is_empty() {
+                return out;
+            }
+            if actix_rt::time::timeout(KEEP_ALIVE, changed).await.is_err() {
+                return b":\n\n".to_vec();
+            }
+        }
+    }
+
+    /// Writes what the caller may see and has not seen.
+    fn ready(&mut self) -> Vec<u8> {
+        let mut out = Vec::new();
+        let sealed = self.live.sealed();
+        let run = self.live.run.borrow();
+        let acked = if sealed.is_some() { run.transcript().position() } else { self.live.acked() };
+        self.sent = tokens(&mut out, &self.descriptor, run.transcript(), self.sent, acked);
+        if let Some(finish) = sealed {
+            end(&mut out, &self.descriptor, run.transcript(), &finish);
+            self.ended = true;
+        } else if self.live.superseded() {
+            let second = self.live.second().map(|member| member.caller.to_string());
+            let others = self.ctx.members.entries();
+            let others = others.iter().map(|member| member.caller.to_string());
+            let entries = second.into_iter().chain(others).collect();
+            sse::write(&mut out, None, Some("moved"), &to_json(&Moved { entries }));
+            self.ended = true;
+        }
+        out
+    }
+}
+
+/// Writes the tokens from `from` to `to`; returns the new position.
+fn tokens(
+    out: &mut Vec<u8>,
+    descriptor: &Descriptor,
+    transcript: &Transcript,
+    from: Position,
+    to: Position,
+) -> Position {
+    let Call::Completion { model, chat, .. } = &descriptor.call else {
+        return from;
+    };
+    let Ok(new) = transcript.since(from) else {
+        return from;
+    };
+    let id = descriptor.id.to_string();
+    let mut position = from;
+    let count = usize::try_from(to.since(from)).unwrap_or(usize::MAX);
+    for token in new.take(count) {
+        let mut chunk = Chunk::text(&id, model.as_str(), *chat, token);
+        if position == Position(0)
+            && let Some(Delta { role, .. }) = &mut chunk.choices[0].delta
+        {
+            *role = Some("assistant".into());
+        }
+        position = position.plus(1);
+        sse::write(out, Some(position.0), None, &to_json(&chunk));
+    }
+    position
+}
+
+/// Writes how the request ended.
+fn end(out: &mut Vec<u8>, descriptor: &Descriptor, transcript: &Transcript, finish: &Finish) {
+    if finish.outcome != Outcome::Done {
+        let problem = Problem::ended(descriptor.id, finish);
+        sse::write(out, None, None, &to_json(&problem.body()));
+        return;
+    }
+    let Call::Completion { model, chat, .. } = &descriptor.call else {
+        return;
+    };
+    let mut chunk = Chunk::text(&descriptor.id.to_string(), model.as_str(), *chat, "");
+    let choice = &mut chunk.choices[0];
+    choice.finish_reason = Some(finish.reason.clone());
+    if *chat {
+        choice.delta = Some(Delta::default());
+    }
+    chunk.usage = Some(usage(finish, transcript));
+    sse::write(out, None, None, &to_json(&Last { chunk, outcome: finish.outcome }));
+    sse::write(out, None, None, "[DONE]");
+}
+
+/// Writes the events of a request that has ended, from `from` on.
+pub(super) fn finished(
+    descriptor: &Descriptor,
+    transcript: &Transcript,
+    finish: &Finish,
+    from: Position,
+) -> Vec<u8> {
+    let mut out = Vec::new();
+    tokens(&mut out, descriptor, transcript, from, transcript.position());
+    end(&mut out, descriptor, transcript, finish);
+    out
+}
--- a/crates/cumin-node/src/lib.rs
+++ b/crates/cumin-node/src/lib.rs
@@ -1,1 +1,20 @@
-//! See docs/design.md; the crate has no content yet.
+//! The node: sockets, timers and tasks around the decision crates.
+//!
+//! [`Node::start`] brings up everything that one entry instance runs, as local tasks of the
+//! calling `actix-rt` system: the caller interface, the calls between nodes, and the views of
+//! members, endpoints and the document. Each slice owns its state; decisions come from the
+//! pure crates and are logged with their reasons.
+
+mod caller;
+mod clock;
+mod explain;
+mod fleet;
+mod member;
+mod metrics;
+mod node;
+mod peer;
+mod record;
+mod request;
+
+pub use explain::Decision;
+pub use node::{Node, Options, StartError};
--- /dev/null
+++ b/crates/cumin-node/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Metrics of a node, in the text format of Prometheus.
+
+use std::sync::atomic::AtomicI64;
+
+use cumin_types::Outcome;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum OutcomeLabel {
+    Done,
+    Failed,
+    NotRun,
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: OutcomeLabel,
+}
+
+/// Counters and gauges of a node.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Family<OutcomeLabels, Counter>,
+    pub(crate) running: Gauge<i64, AtomicI64>,
+    pub(crate) attempts: Counter,
+    pub(crate) tokens: Counter,
+    pub(crate) dropped: Counter,
+    pub(crate) refused: Counter,
+    pub(crate) moved: Counter,
+    pub(crate) unheld: Counter,
+    pub(crate) taken: Counter,
+    pub(crate) replica_batches: Counter,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("cuminladder");
+        let metrics = Self {
+            requests: Family::default(),
+            running: Gauge::default(),
+            attempts: Counter::default(),
+            tokens: Counter::default(),
+            dropped: Counter::default(),
+            refused: Counter::default(),
+            moved: Counter::default(),
+            unheld: Counter::default(),
+            taken: Counter::default(),
+            replica_batches: Counter::default(),
+            registry: Registry::default(),
+        };
+        registry.register("requests", "Requests ended, by outcome", metrics.requests.clone());
+        registry.register("requests_running", "Requests in progress", metrics.running.clone());
+        for (name, help, counter) in [
+            ("attempts", "Attempts sent to endpoints", &metrics.attempts),
+            ("tokens", "Tokens accepted from endpoints", &metrics.tokens),
+            ("frames_dropped", "Late, crossed or duplicate frames", &metrics.dropped),
+            ("requests_refused", "Requests refused by admission", &metrics.refused),
+            ("requests_moved", "Requests moved off a leaving endpoint", &metrics.moved),
+            ("requests_unheld", "Requests that no second node held", &metrics.unheld),
+            ("requests_taken", "Requests taken over from another node", &metrics.taken),
+            ("replica_batches", "Batches of tokens sent to second nodes", &metrics.replica_batches),
+        ] {
+            registry.register(name, help, counter.clone());
+        }
+        Self { registry, ..metrics }
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn ended(&self, outcome: Outcome) {
+        let outcome = match outcome {
+            Outcome::Done => OutcomeLabel::Done,
+            Outcome::Failed => OutcomeLabel::Failed,
+            Outcome::NotRun => OutcomeLabel::NotRun,
+            Outcome::Unknown => OutcomeLabel::Unknown,
+        };
+        self.requests.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -132,7 +132,7 @@
     loop {
         match actix_rt::time::timeout(patience, events.next()).await {
             Ok(Ok(event)) => {
-                patience = ctx.settings.stall;
+                patience = ctx.options.stall;
                 if let Some(ended) = take(ctx, live, attempt, event) {
                     return ended;
                 }
