Add endpoint selection, reclaim ranking and baselines to cumin-route

The node needs one place that decides where a request goes. Router estimates the time to the first token from late reports, own sends and an index of the prefix caches, and weighs price, repeated prefill and reclaim risk. rank_reclaim orders exports and resumes. Three baselines implement the same Policy trait. cumin-wire::engine gains chain and blocks, so that engines and router hash prompts alike.

--- /dev/null
+++ b/crates/cumin-route/src/info.rs
@@ -0,0 +1,126 @@
+//! What a router knows of an endpoint, and its settings.
+
+use std::net::SocketAddr;
+
+use cumin_types::{AttemptId, Cost, EndpointName, Millis, Model, Place, Service};
+use cumin_wire::cloud::Market;
+use serde::{Deserialize, Serialize};
+
+/// Settings of a router.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Options {
+    /// Weight of price: milliseconds of first-token time that one millisecond of engine time at
+    /// the mean price is worth.
+    pub cost: f64,
+    /// Weight of recomputed tokens: milliseconds of first-token time that one millisecond of
+    /// repeated prefill is worth.
+    pub recompute: f64,
+    /// Age of the state that a load report describes when it arrives.
+    pub lag: Millis,
+    /// Delay of one message to another place, milliseconds.
+    pub hop: f64,
+    /// Rates of an endpoint before the first measurement.
+    pub rates: Rates,
+    /// Share of an endpoint's expected life that one request may take.
+    pub life: f64,
+    /// Endpoints scored for one choice at most.
+    pub candidates: usize,
+    /// Alternatives that a choice keeps.
+    pub alternatives: usize,
+    /// Blocks indexed for one endpoint at most.
+    pub blocks: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            cost: 1.0,
+            recompute: 1.0,
+            lag: Millis(200),
+            hop: 0.5,
+            rates: Rates::default(),
+            life: 0.1,
+            candidates: 64,
+            alternatives: 3,
+            blocks: 16_384,
+        }
+    }
+}
+
+/// An endpoint as the platform's list and the document describe it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndpointInfo {
+    /// Its name, unique to one life of the instance.
+    pub name: EndpointName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The service that it belongs to.
+    pub service: Service,
+    /// Models that it serves; empty for a plain service.
+    pub models: Vec<Model>,
+    /// Its place.
+    pub place: Place,
+    /// Price of its instance.
+    pub price: Cost,
+    /// Contract of its instance.
+    pub market: Market,
+    /// Requests that it runs at once; a load report overrides it, zero is unknown.
+    pub slots: u64,
+    /// Expected time until it is reclaimed; none where no reclaim is expected.
+    pub life: Option<Millis>,
+}
+
+/// Measured speeds of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rates {
+    /// Prefill, tokens a second.
+    pub prefill: f64,
+    /// Generation of one stream, tokens a second.
+    pub token: f64,
+    /// Time that a request holds its slot, milliseconds.
+    pub run: f64,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self {
+            prefill: 8000.0,
+            token: 40.0,
+            run: 1000.0,
+        }
+    }
+}
+
+/// An attempt that this node sends to an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Hashes of the prompt's whole blocks.
+    pub blocks: Vec<u64>,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens expected from the endpoint's prefix cache, [`Choice::cached`](crate::Choice).
+    pub cached: u64,
+}
+
+/// How an attempt left its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Finish {
+    /// It ran, wholly or in part.
+    Ran,
+    /// The endpoint ran nothing of it.
+    NotStarted,
+}
+
+/// What this node has sent to an endpoint and not seen finished.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnLoad {
+    /// Attempts.
+    pub requests: u64,
+    /// Uncached tokens of their prompts.
+    pub tokens: u64,
+}
--- /dev/null
+++ b/crates/cumin-route/src/policy.rs
@@ -0,0 +1,233 @@
+//! The interface that the router shares with the baselines, and the baselines.
+
+use cumin_types::{AttemptId, EndpointName, Millis, score};
+use cumin_wire::engine::{CacheEvent, CacheList, Load};
+use rand::RngCore;
+
+use crate::view::{View, real};
+use crate::{
+    Choice, EndpointInfo, Finish, NoEndpoint, Options, Query, Rates, Router, Scored, Terms, Trust,
+    Work,
+};
+
+/// Chooses endpoints from what it is told about them.
+pub trait Policy {
+    /// Name in log lines and tables.
+    fn name(&self) -> &'static str;
+    /// Adds an endpoint or replaces its description.
+    fn upsert(&mut self, info: EndpointInfo);
+    /// Forgets an endpoint.
+    fn remove(&mut self, name: &EndpointName);
+    /// Stops new work to an endpoint, for good.
+    fn leaving(&mut self, name: &EndpointName, until: Millis);
+    /// Takes in a load report.
+    fn report(&mut self, name: &EndpointName, load: &Load, now: Millis);
+    /// Counts an attempt that this node sends.
+    fn sent(&mut self, name: &EndpointName, work: &Work, now: Millis);
+    /// Takes an attempt off.
+    fn finished(&mut self, name: &EndpointName, attempt: AttemptId, finish: Finish, now: Millis);
+    /// Applies cache events; none where the policy keeps no index.
+    fn cache_events(&mut self, name: &EndpointName, events: &[CacheEvent]) -> Option<Trust>;
+    /// Replaces an endpoint's cache index; none where the policy keeps no index.
+    fn cache_list(&mut self, name: &EndpointName, list: &CacheList) -> Option<Trust>;
+    /// Takes in measured rates.
+    fn observe(&mut self, name: &EndpointName, rates: &Rates, now: Millis);
+    /// Chooses an endpoint.
+    ///
+    /// # Errors
+    /// [`NoEndpoint`] when none can take the request.
+    fn choose(
+        &mut self,
+        query: &Query,
+        now: Millis,
+        rng: &mut dyn RngCore,
+    ) -> Result<Choice, NoEndpoint>;
+}
+
+impl Policy for Router {
+    fn name(&self) -> &'static str {
+        "estimate"
+    }
+
+    fn upsert(&mut self, info: EndpointInfo) {
+        Router::upsert(self, info);
+    }
+
+    fn remove(&mut self, name: &EndpointName) {
+        Router::remove(self, name);
+    }
+
+    fn leaving(&mut self, name: &EndpointName, until: Millis) {
+        Router::leaving(self, name, until);
+    }
+
+    fn report(&mut self, name: &EndpointName, load: &Load, now: Millis) {
+        Router::report(self, name, load, now);
+    }
+
+    fn sent(&mut self, name: &EndpointName, work: &Work, now: Millis) {
+        Router::sent(self, name, work, now);
+    }
+
+    fn finished(&mut self, name: &EndpointName, attempt: AttemptId, finish: Finish, now: Millis) {
+        Router::finished(self, name, attempt, finish, now);
+    }
+
+    fn cache_events(&mut self, name: &EndpointName, events: &[CacheEvent]) -> Option<Trust> {
+        Router::cache_events(self, name, events)
+    }
+
+    fn cache_list(&mut self, name: &EndpointName, list: &CacheList) -> Option<Trust> {
+        Router::cache_list(self, name, list)
+    }
+
+    fn observe(&mut self, name: &EndpointName, rates: &Rates, now: Millis) {
+        Router::observe(self, name, rates, now);
+    }
+
+    fn choose(
+        &mut self,
+        query: &Query,
+        now: Millis,
+        rng: &mut dyn RngCore,
+    ) -> Result<Choice, NoEndpoint> {
+        Router::choose(self, query, now, rng)
+    }
+}
+
+/// How a baseline picks among the endpoints that can take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// Each in turn.
+    Robin,
+    /// Fewest requests for its slots; ties at random.
+    Least,
+    /// Rendezvous hashing of the first blocks of the prompt.
+    Prefix,
+}
+
+/// Blocks of the prompt that [`Rule::Prefix`] hashes; longer than the shared instructions of the
+/// workloads, so that different documents spread.
+const PREFIX: usize = 40;
+
+/// A policy without estimates.
+#[derive(Clone, Debug)]
+pub struct Baseline {
+    view: View,
+    rule: Rule,
+    turn: usize,
+}
+
+impl Baseline {
+    /// Makes a baseline that knows no endpoint.
+    #[must_use]
+    pub fn new(rule: Rule, options: Options) -> Self {
+        Self {
+            view: View::new(options),
+            rule,
+            turn: 0,
+        }
+    }
+
+    fn share(&self, id: usize) -> f64 {
+        let endpoint = self.view.get(id);
+        real(endpoint.active) / endpoint.slots().map_or(1.0, real)
+    }
+
+    fn pick(&mut self, ids: &[usize], query: &Query, rng: &mut dyn RngCore) -> Option<usize> {
+        match self.rule {
+            Rule::Robin => {
+                self.turn = self.turn.wrapping_add(1);
+                (!ids.is_empty()).then(|| ids[self.turn % ids.len()])
+            }
+            Rule::Least => {
+                let start = rng.next_u32() as usize % ids.len().max(1);
+                (0..ids.len())
+                    .map(|turn| ids[(start + turn) % ids.len()])
+                    .min_by(|a, b| self.share(*a).total_cmp(&self.share(*b)))
+            }
+            Rule::Prefix => {
+                let last = query.blocks.iter().take(PREFIX).next_back();
+                let key = last.map_or_else(|| rng.next_u64(), |hash| *hash);
+                ids.iter().copied().max_by_key(|id| {
+                    score(&key.to_le_bytes(), self.view.get(*id).info.name.as_str())
+                })
+            }
+        }
+    }
+}
+
+impl Policy for Baseline {
+    fn name(&self) -> &'static str {
+        match self.rule {
+            Rule::Robin => "round-robin",
+            Rule::Least => "least-loaded",
+            Rule::Prefix => "prefix-hash",
+        }
+    }
+
+    fn upsert(&mut self, info: EndpointInfo) {
+        self.view.upsert(info);
+    }
+
+    fn remove(&mut self, name: &EndpointName) {
+        self.view.remove(name);
+    }
+
+    fn leaving(&mut self, name: &EndpointName, until: Millis) {
+        self.view.leaving(name, until);
+    }
+
+    fn report(&mut self, name: &EndpointName, load: &Load, now: Millis) {
+        self.view.report(name, load, now);
+    }
+
+    fn sent(&mut self, name: &EndpointName, work: &Work, now: Millis) {
+        self.view.sent(name, work, Vec::new(), now);
+    }
+
+    fn finished(&mut self, name: &EndpointName, attempt: AttemptId, finish: Finish, now: Millis) {
+        self.view.finished(name, attempt, finish, now);
+    }
+
+    fn cache_events(&mut self, _: &EndpointName, _: &[CacheEvent]) -> Option<Trust> {
+        None
+    }
+
+    fn cache_list(&mut self, _: &EndpointName, _: &CacheList) -> Option<Trust> {
+        None
+    }
+
+    fn observe(&mut self, name: &EndpointName, rates: &Rates, now: Millis) {
+        self.view.observe(name, rates, now);
+    }
+
+    fn choose(
+        &mut self,
+        query: &Query,
+        _: Millis,
+        rng: &mut dyn RngCore,
+    ) -> Result<Choice, NoEndpoint> {
+        let ids = self.view.eligible(query);
+        let Some(id) = self.pick(&ids, query, rng) else {
+            return Err(self.view.none(query));
+        };
+        let info = &self.view.get(id).info;
+        Ok(Choice {
+            policy: self.name(),
+            service: query.service.clone(),
+            address: info.address,
+            best: Scored {
+                endpoint: info.name.clone(),
+                place: info.place.clone(),
+                cached: 0,
+                short: false,
+                late: false,
+                terms: Terms::default(),
+            },
+            others: Vec::new(),
+            eligible: ids.len(),
+            scored: ids.len(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cumin-route/src/router.rs
@@ -0,0 +1,435 @@
+//! The product's policy.
+
+use std::cmp::{Ordering, Reverse};
+
+use cumin_types::{AttemptId, EndpointName, Millis, Model, Service};
+use cumin_wire::engine::{CacheEvent, CacheList, Load};
+use rand::Rng;
+
+use crate::index::{Index, tokens};
+use crate::pool::{Group, Pools, key};
+use crate::view::{Endpoint, View, ms, real};
+use crate::{
+    Choice, EndpointInfo, Finish, NoEndpoint, Options, OwnLoad, Policy, Query, Rates, Scored,
+    Target, Terms, Trust, Work,
+};
+
+/// Scores this close to the best, in milliseconds, are chosen among at random, so that nodes with
+/// the same late reports do not all choose the same endpoint.
+const SPREAD: f64 = 1.0;
+
+/// Chooses the endpoint with the lowest weighted estimate of the time to the first token.
+#[derive(Clone, Debug)]
+pub struct Router {
+    view: View,
+    index: Index,
+    pools: Pools,
+    /// Cached blocks by slot, zero outside of a choice.
+    depth: Vec<usize>,
+    holders: Vec<usize>,
+    picks: Vec<usize>,
+}
+
+/// A candidate's score, without names.
+#[derive(Clone, Copy, Debug)]
+struct Rated {
+    id: usize,
+    cached: u64,
+    short: bool,
+    late: bool,
+    score: f64,
+    terms: Terms,
+}
+
+impl Rated {
+    fn order(&self, other: &Self) -> Ordering {
+        (self.late, self.short)
+            .cmp(&(other.late, other.short))
+            .then(self.score.total_cmp(&other.score))
+            .then(self.id.cmp(&other.id))
+    }
+}
+
+impl Router {
+    /// Makes a router that knows no endpoint.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self {
+            index: Index::new(options.blocks),
+            view: View::new(options),
+            pools: Pools::default(),
+            depth: Vec::new(),
+            holders: Vec::new(),
+            picks: Vec::new(),
+        }
+    }
+
+    /// Replaces the two objective weights.
+    pub fn weigh(&mut self, cost: f64, recompute: f64) {
+        self.view.options.cost = cost;
+        self.view.options.recompute = recompute;
+    }
+
+    /// Adds an endpoint or replaces its description. A new address is a new process with an
+    /// empty cache.
+    pub fn upsert(&mut self, info: EndpointInfo) {
+        let (id, fresh) = self.view.upsert(info);
+        if fresh {
+            self.index.reset(id);
+        }
+        if self.depth.len() <= id {
+            self.depth.resize(id + 1, 0);
+        }
+        self.pools.update(&self.view, id);
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&mut self, name: &EndpointName) {
+        if let Some(id) = self.view.remove(name) {
+            self.index.forget(id);
+            self.pools.remove(id);
+        }
+    }
+
+    /// Stops new work to an endpoint that is reclaimed at `until`; final, also for a later
+    /// [`upsert`](Self::upsert) of the same name.
+    pub fn leaving(&mut self, name: &EndpointName, until: Millis) {
+        if let Some(id) = self.view.leaving(name, until) {
+            self.pools.remove(id);
+        }
+    }
+
+    /// Takes in a load report; one older than the last is ignored.
+    pub fn report(&mut self, name: &EndpointName, load: &Load, now: Millis) {
+        if let Some(id) = self.view.report(name, load, now) {
+            self.pools.update(&self.view, id);
+        }
+    }
+
+    /// Counts an attempt that this node sends, and its prompt's blocks as cached there.
+    pub fn sent(&mut self, name: &EndpointName, work: &Work, now: Millis) {
+        let Some(id) = self.view.id(name) else { return };
+        let mut fresh = work.blocks.clone();
+        fresh.retain(|block| self.index.add(id, *block));
+        self.view.sent(name, work, fresh, now);
+        self.pools.update(&self.view, id);
+    }
+
+    /// Takes an attempt off; a second call for it has no effect.
+    pub fn finished(
+        &mut self,
+        name: &EndpointName,
+        attempt: AttemptId,
+        finish: Finish,
+        now: Millis,
+    ) {
+        if let Some((id, own)) = self.view.finished(name, attempt, finish, now) {
+            if finish == Finish::NotStarted {
+                for block in own.fresh {
+                    self.index.take(id, block);
+                }
+            }
+            self.pools.update(&self.view, id);
+        }
+    }
+
+    /// Applies cache events; on a gap the endpoint's index is not counted until
+    /// [`cache_list`](Self::cache_list). None for an unknown endpoint.
+    pub fn cache_events(&mut self, name: &EndpointName, events: &[CacheEvent]) -> Option<Trust> {
+        let id = self.view.id(name)?;
+        self.index.events(id, events);
+        Some(self.index.trust(id))
+    }
+
+    /// Replaces an endpoint's index and trusts it again; a list older than the events already
+    /// applied is ignored. None for an unknown endpoint.
+    pub fn cache_list(&mut self, name: &EndpointName, list: &CacheList) -> Option<Trust> {
+        let id = self.view.id(name)?;
+        if self.index.list(id, list) {
+            for own in &self.view.get(id).own {
+                for block in &own.fresh {
+                    self.index.add(id, *block);
+                }
+            }
+        }
+        Some(self.index.trust(id))
+    }
+
+    /// Returns whether an endpoint's index is counted.
+    #[must_use]
+    pub fn trust(&self, name: &EndpointName) -> Option<Trust> {
+        self.view.id(name).map(|id| self.index.trust(id))
+    }
+
+    /// Blends measured rates into an endpoint's; rates that are not positive are left out.
+    pub fn observe(&mut self, name: &EndpointName, rates: &Rates, now: Millis) {
+        if let Some(id) = self.view.observe(name, rates, now) {
+            self.pools.update(&self.view, id);
+        }
+    }
+
+    /// Returns what this node has at an endpoint.
+    #[must_use]
+    pub fn load(&self, name: &EndpointName) -> Option<OwnLoad> {
+        self.view.id(name).map(|id| self.view.get(id).load())
+    }
+
+    /// Returns the description of an endpoint.
+    #[must_use]
+    pub fn info(&self, name: &EndpointName) -> Option<&EndpointInfo> {
+        self.view.id(name).map(|id| &self.view.get(id).info)
+    }
+
+    /// Returns the endpoints of a service that serve a model, as targets of a reclaim.
+    #[must_use]
+    pub fn targets(&self, service: &Service, model: &Model) -> Vec<Target> {
+        let known = self.view.of(service).iter().map(|id| self.view.get(*id));
+        known
+            .filter(|endpoint| endpoint.serves(Some(model)))
+            .map(|endpoint| Target {
+                endpoint: endpoint.info.name.clone(),
+                place: endpoint.info.place.clone(),
+                models: endpoint.info.models.clone(),
+                free: endpoint.slots().map_or(u64::from(u32::MAX), |slots| {
+                    slots.saturating_sub(endpoint.active)
+                }),
+                leaving: endpoint.leaving.is_some(),
+            })
+            .collect()
+    }
+
+    /// Returns how many leading tokens of a prompt each trusted endpoint of a service that is
+    /// not leaving caches, most first.
+    #[must_use]
+    pub fn cached(&self, blocks: &[u64]) -> Vec<(EndpointName, u64)> {
+        let mut found = Vec::new();
+        self.index.lookup(blocks, |id, depth| {
+            let endpoint = self.view.get(id);
+            if endpoint.leaving.is_none() {
+                found.push((endpoint.info.name.clone(), tokens(depth)));
+            }
+        });
+        found.sort_by(|(a, x), (b, y)| y.cmp(x).then_with(|| a.cmp(b)));
+        found
+    }
+
+    /// Chooses an endpoint.
+    ///
+    /// Candidates are the endpoints that cache most of the prompt, and of each group of alike
+    /// endpoints the first that are ready and some at random.
+    ///
+    /// # Errors
+    /// [`NoEndpoint`] when none can take the request.
+    pub fn choose<R: Rng + ?Sized>(
+        &mut self,
+        query: &Query,
+        now: Millis,
+        rng: &mut R,
+    ) -> Result<Choice, NoEndpoint> {
+        let excluded: Vec<usize> = query
+            .exclude
+            .iter()
+            .filter_map(|name| self.view.id(name))
+            .collect();
+        self.pick(query, &excluded, rng);
+        let deepest = self.depths(&self.picks);
+        let price = self.pools.group(&query.service).map_or(1.0, Group::price);
+        let mut rated: Vec<Rated> = self
+            .picks
+            .iter()
+            .map(|id| self.rate(*id, query, deepest, price, now))
+            .collect();
+        for id in self.holders.drain(..) {
+            self.depth[id] = 0;
+        }
+        rated.sort_unstable_by(Rated::order);
+        let Some(best) = rated.first().copied() else {
+            return Err(self.view.none(query));
+        };
+        let near = rated.partition_point(|other| {
+            (other.late, other.short) == (best.late, best.short)
+                && other.score - best.score <= SPREAD
+        });
+        if near > 1 {
+            rated.swap(0, rng.random_range(0..near));
+        }
+        let keep = (self.view.options.alternatives + 1).min(rated.len());
+        Ok(Choice {
+            policy: Policy::name(self),
+            service: query.service.clone(),
+            address: self.view.get(rated[0].id).info.address,
+            best: self.scored(&rated[0]),
+            others: rated[1..keep].iter().map(|r| self.scored(r)).collect(),
+            eligible: self.eligible(query, &excluded),
+            scored: rated.len(),
+        })
+    }
+
+    fn eligible(&self, query: &Query, excluded: &[usize]) -> usize {
+        let Some(group) = self.pools.group(&query.service) else {
+            return 0;
+        };
+        let model = query.model.as_ref();
+        let pools = group.pools.iter().filter(|pool| pool.kind.serves(model));
+        let all: usize = pools.map(|pool| pool.members.len()).sum();
+        let out = excluded
+            .iter()
+            .filter(|id| {
+                let endpoint = self.view.get(**id);
+                self.pools.contains(**id)
+                    && endpoint.info.service == query.service
+                    && endpoint.serves(model)
+            })
+            .count();
+        all.saturating_sub(out)
+    }
+
+    /// Fills `picks` with the candidates, `holders` and `depth` with the cached blocks.
+    fn pick<R: Rng + ?Sized>(&mut self, query: &Query, excluded: &[usize], rng: &mut R) {
+        let Self {
+            view,
+            index,
+            pools,
+            depth,
+            holders,
+            picks,
+        } = self;
+        picks.clear();
+        let model = query.model.as_ref();
+        let Some(group) = pools.group(&query.service) else {
+            return;
+        };
+        if model.is_some() {
+            index.lookup(&query.blocks, |id, blocks| {
+                depth[id] = blocks;
+                holders.push(id);
+            });
+        }
+        let limit = view.options.candidates.max(2);
+        let usable = |id: usize| {
+            let endpoint = view.get(id);
+            pools.contains(id)
+                && endpoint.info.service == query.service
+                && endpoint.serves(model)
+                && !excluded.contains(&id)
+        };
+        picks.extend(holders.iter().copied().filter(|id| usable(*id)));
+        let half = limit / 2;
+        if picks.len() > half {
+            let order = |id: &usize| {
+                let endpoint = view.get(*id);
+                (Reverse(depth[*id]), key(endpoint, *id))
+            };
+            picks.select_nth_unstable_by_key(half - 1, order);
+            picks.truncate(half);
+        }
+        let serving: Vec<_> = group
+            .pools
+            .iter()
+            .filter(|pool| pool.kind.serves(model))
+            .collect();
+        if serving.is_empty() {
+            return;
+        }
+        let room = limit - picks.len();
+        let each = (room / serving.len()).clamp(1, 8);
+        // With more groups than room, a different part of them is looked at each time.
+        let start = if serving.len() > room {
+            rng.random_range(0..serving.len())
+        } else {
+            0
+        };
+        for turn in 0..serving.len() {
+            if picks.len() >= limit {
+                break;
+            }
+            let pool = serving[(start + turn) % serving.len()];
+            let before = picks.len();
+            for (_, _, id) in &pool.order {
+                if picks.len() - before >= each.div_ceil(2) {
+                    break;
+                }
+                if !excluded.contains(id) && !picks.contains(id) {
+                    picks.push(*id);
+                }
+            }
+            for _ in 0..each / 2 {
+                let id = pool.members[rng.random_range(0..pool.members.len())];
+                if picks.len() < limit && !excluded.contains(&id) && !picks.contains(&id) {
+                    picks.push(id);
+                }
+            }
+        }
+    }
+
+    fn depths(&self, ids: &[usize]) -> u64 {
+        ids.iter()
+            .map(|id| tokens(self.depth[*id]))
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn rate(&self, id: usize, query: &Query, deepest: u64, price: f64, now: Millis) -> Rated {
+        let endpoint = self.view.get(id);
+        let options = &self.view.options;
+        let cached = tokens(self.depth[id]).min(query.prompt);
+        let deepest = deepest.min(query.prompt);
+        let per = 1000.0 / endpoint.rates.prefill.max(1.0);
+        let step = 1000.0 / endpoint.rates.token.max(0.001);
+        let slots = endpoint.slots().map_or(f64::INFINITY, real);
+        let model = query.model.is_some();
+        let far = query
+            .place
+            .as_ref()
+            .is_some_and(|place| *place != endpoint.info.place);
+        let mut terms = Terms {
+            queue: (endpoint.ready - ms(now)).max(0.0),
+            prefill: real(query.prompt - cached) * per,
+            transfer: if far { 2.0 * options.hop } else { 0.0 },
+            ..Terms::default()
+        };
+        let run = if model {
+            real(query.output) * step
+        } else {
+            endpoint.rates.run
+        };
+        terms.crowd = crowd(endpoint, if model { step } else { run });
+        let busy = terms.prefill + if slots.is_finite() { run / slots } else { run };
+        terms.price = options.cost * busy * endpoint.info.price.0 / price;
+        terms.repeat = options.recompute * real(deepest.saturating_sub(cached)) * per;
+        let whole = terms.first() + run;
+        let mut short = false;
+        if let Some(life) = endpoint.info.life {
+            let share = whole / ms(life).max(1.0);
+            short = share > options.life;
+            let lost = real(query.prompt + query.output / 2) * per;
+            terms.risk = options.recompute * share.min(1.0) * lost;
+        }
+        Rated {
+            id,
+            cached,
+            short,
+            late: query.deadline.is_some_and(|at| ms(now) + whole > ms(at)),
+            score: terms.score(),
+            terms,
+        }
+    }
+
+    fn scored(&self, rated: &Rated) -> Scored {
+        let info = &self.view.get(rated.id).info;
+        Scored {
+            endpoint: info.name.clone(),
+            place: info.place.clone(),
+            cached: rated.cached,
+            short: rated.short,
+            late: rated.late,
+            terms: rated.terms,
+        }
+    }
+}
+
+/// Returns the extra time that one more request takes beside those that the endpoint has.
+fn crowd(endpoint: &Endpoint, step: f64) -> f64 {
+    let slots = endpoint.slots().map_or(16.0, real);
+    real(endpoint.active) / slots * step
+}
--- a/crates/cumin-wire/src/engine.rs
+++ b/crates/cumin-wire/src/engine.rs
@@ -2,6 +2,7 @@
 
 use cumin_types::FencingToken;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Answer of `GET /v1/load`; lags behind the engine's state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -139,3 +140,27 @@
 pub fn tokens(text: &str) -> impl Iterator<Item = &str> {
     text.split_inclusive(char::is_whitespace)
 }
+
+/// Extends a chain of block hashes: the hash of the prefix that ends with `block`, where `last`
+/// is the hash of the prefix before it, zero for none.
+#[must_use]
+pub fn chain(last: u64, block: &[u8]) -> u64 {
+    xxh3_64_with_seed(block, last)
+}
+
+/// Hashes the whole blocks of `text`, each over the text from its start; a last part shorter
+/// than [`BLOCK_TOKENS`] has no hash.
+#[must_use]
+pub fn blocks(text: &str) -> Vec<u64> {
+    let (mut hashes, mut last) = (Vec::new(), 0);
+    let (mut start, mut end) = (0, 0);
+    for (index, token) in tokens(text).enumerate() {
+        end += token.len();
+        if (index + 1) % BLOCK_TOKENS == 0 {
+            last = chain(last, &text.as_bytes()[start..end]);
+            hashes.push(last);
+            start = end;
+        }
+    }
+    hashes
+}
