--- a/crates/cumin-node/src/caller/completion.rs
+++ b/crates/cumin-node/src/caller/completion.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::body::{BoxBody, BodyStream, MessageBody};
+use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{Request, Response, StatusCode};
 use cumin_request::{Finish, Transcript};
 use cumin_types::{
@@ -110,7 +110,8 @@
         .insert_header((header::REQUEST_ID, live.id.to_string()))
         .insert_header((header::SECOND, second(live)))
         .insert_header(("location", format!("/v1/requests/{}", live.id)))
-        .body(BoxBody::new(()))
+        .body(())
+        .map_into_boxed_body()
 }
 
 /// Returns the address of the second node, or `none`.
@@ -139,7 +140,8 @@
         .insert_header(("cache-control", "no-store"))
         .insert_header((header::REQUEST_ID, live.id.to_string()))
         .insert_header((header::SECOND, second(&live)));
-    answer.body(BodyStream::new(Box::pin(stream::events(ctx, live, from))).boxed())
+    let events = stream::events(ctx, live, from);
+    answer.body(BodyStream::new(Box::pin(events))).map_into_boxed_body()
 }
 
 /// Waits for the end and answers with the whole.
@@ -166,7 +168,8 @@
     Response::build(StatusCode::SEE_OTHER)
         .insert_header((header::REQUEST_ID, live.id.to_string()))
         .insert_header(("location", to))
-        .body(BoxBody::new(()))
+        .body(())
+        .map_into_boxed_body()
 }
 
 /// Returns the answer of a request that has ended.
@@ -200,7 +203,8 @@
         .insert_header(("content-type", "application/json"))
         .insert_header((header::REQUEST_ID, descriptor.id.to_string()))
         .insert_header((header::OUTCOME, finish.outcome.to_string()))
-        .body(reply::to_json(&answer).boxed()))
+        .body(reply::to_json(&answer))
+        .map_into_boxed_body())
 }
 
 /// Returns the token counts of the whole answer, whatever attempts made it.
--- a/crates/cumin-node/src/caller/plain.rs
+++ b/crates/cumin-node/src/caller/plain.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::body::{BoxBody, MessageBody};
+use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use cumin_config::ServiceKind;
 use cumin_request::Finish;
@@ -100,5 +100,5 @@
     } else {
         body.text.clone().into_bytes()
     };
-    Ok(answer.body(bytes.boxed()))
+    Ok(answer.body(bytes).map_into_boxed_body())
 }
--- a/crates/cumin-node/src/caller/reply.rs
+++ b/crates/cumin-node/src/caller/reply.rs
@@ -1,6 +1,6 @@
 //! Answers that carry no result: errors in the shape of the completion protocol, short texts.
 
-use actix_http::body::{BoxBody, MessageBody};
+use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
 use cumin_request::Finish;
 use cumin_types::{Millis, Outcome, RequestId};
@@ -104,7 +104,7 @@
             // The header counts whole seconds; a fraction rounds up.
             answer.insert_header(("retry-after", after.0.div_ceil(1000).to_string()));
         }
-        answer.body(to_json(&self.body()).boxed())
+        answer.body(to_json(&self.body())).map_into_boxed_body()
     }
 }
 
@@ -124,12 +124,14 @@
 pub(crate) fn text(status: StatusCode, text: &str) -> Response<BoxBody> {
     Response::build(status)
         .insert_header(("content-type", "text/plain; charset=utf-8"))
-        .body(text.to_owned().boxed())
+        .body(text.to_owned())
+        .map_into_boxed_body()
 }
 
 /// Returns a JSON answer.
 pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<BoxBody> {
     Response::build(status)
         .insert_header(("content-type", "application/json"))
-        .body(to_json(value).boxed())
+        .body(to_json(value))
+        .map_into_boxed_body()
 }
--- a/crates/cumin-node/src/caller/resume.rs
+++ b/crates/cumin-node/src/caller/resume.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::body::{BoxBody, MessageBody};
+use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use cumin_request::Given;
 use cumin_types::{Call, Organisation, Outcome, Position, RequestId};
@@ -115,14 +115,14 @@
         return if own { Ok(Source::Running(live)) } else { Err(missing(id)) };
     }
     let held = ctx.holder.borrow().look(id, ctx.clock.now());
+    if held.as_ref().is_some_and(|held| held.descriptor.org != *org) {
+        return Err(missing(id));
+    }
     let given = match held {
         Some(held) if held.finish.is_some() => held,
         Some(held) => from_owner(ctx, id, held).await.ok_or_else(|| missing(id))?,
-        None => from_others(ctx, id).await.ok_or_else(|| missing(id))?,
+        None => from_others(ctx, id, org).await.ok_or_else(|| missing(id))?,
     };
-    if given.descriptor.org != *org {
-        return Err(missing(id));
-    }
     if given.finish.is_some() {
         return Ok(Source::Ended(Box::new(given)));
     }
@@ -145,8 +145,11 @@
 }
 
 /// Takes a request from the node that has most of it.
-async fn from_others(ctx: &Rc<Ctx>, id: RequestId) -> Option<Given> {
-    let (member, _) = request::find(ctx, id).await?;
+async fn from_others(ctx: &Rc<Ctx>, id: RequestId, org: &Organisation) -> Option<Given> {
+    let (member, found) = request::find(ctx, id).await?;
+    if found.org != *org {
+        return None;
+    }
     let client = ctx.client.to(member.rpc).ok()?;
     client.take(id, ctx.settings.name.clone()).await.ok()?
 }
@@ -169,5 +172,6 @@
         .insert_header(("content-type", "text/event-stream"))
         .insert_header((header::REQUEST_ID, given.descriptor.id.to_string()))
         .insert_header((header::OUTCOME, finish.outcome.to_string()))
-        .body(events.boxed()))
+        .body(events)
+        .map_into_boxed_body())
 }
--- a/crates/cumin-node/src/caller/stream.rs
+++ b/crates/cumin-node/src/caller/stream.rs
@@ -71,7 +71,8 @@
 impl State {
     async fn next(&mut self) -> Vec<u8> {
         loop {
-            let changed = self.live.changed();
+            let live = Rc::clone(&self.live);
+            let changed = live.changed();
             let out = self.ready();
             if !out.is_empty() {
                 return out;
--- /dev/null
+++ b/crates/cumin-node/src/fleet/reclaim.rs
@@ -0,0 +1,104 @@
+//! Moves running requests off an endpoint that is leaving.
+//!
+//! Requests whose KV cache fits before the notice ends are exported and imported elsewhere; the
+//! others go on by prefill of their text. Every step can be repeated: an export that nobody
+//! imports is lost with its endpoint, and a request that has moved on ignores a late command.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cumin_route::{How, Move, ReclaimOptions, Running, Step, rank_reclaim};
+use cumin_types::{AttemptId, Call, EndpointName, Millis};
+use cumin_wire::engine::{Export, Exported, Import, Imported};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::node::Ctx;
+use crate::request::{Command, Live};
+
+/// KV cache of one token, bytes, before an export says how large it is.
+const KV_BYTES_PER_TOKEN: u64 = 128 << 10;
+
+/// Moves all requests of this node that run at `endpoint`, which stops after `left`.
+pub(super) async fn evacuate(ctx: Rc<Ctx>, endpoint: EndpointName, left: Millis) {
+    let from = ctx.fleet.router.borrow().info(&endpoint).map(|info| info.address);
+    let running = ctx.fleet.running_at(&ctx, &endpoint);
+    let options = ReclaimOptions { left, ..ReclaimOptions::default() };
+    let plan = plan(&ctx, &endpoint, &running, &options);
+    for step in plan {
+        let Some((_, live)) = running.iter().find(|(attempt, _)| *attempt == step.attempt) else {
+            continue;
+        };
+        ctx.decisions.note("move", &live.id, &step);
+        ctx.metrics.moved.inc();
+        let to = match (&step.how, from) {
+            (How::Export, Some(from)) => transfer(&ctx, from, &step).await,
+            _ => None,
+        };
+        live.order(Command::Move { from: endpoint.clone(), to });
+    }
+}
+
+fn plan(
+    ctx: &Rc<Ctx>,
+    endpoint: &EndpointName,
+    running: &[(AttemptId, Rc<Live>)],
+    options: &ReclaimOptions,
+) -> Vec<Move> {
+    let router = ctx.fleet.router.borrow();
+    let mut targets = Vec::new();
+    let mut requests = Vec::new();
+    for (attempt, live) in running {
+        let run = live.run.borrow();
+        let descriptor = run.descriptor();
+        // A plain call can't move; it ends within the notice or its connection breaks.
+        let Call::Completion { model, .. } = &descriptor.call else {
+            continue;
+        };
+        if targets.is_empty() {
+            targets = router.targets(&descriptor.service, model);
+        }
+        let tokens = live.prompt.tokens + run.transcript().position().0;
+        requests.push(Running {
+            attempt: *attempt,
+            endpoint: endpoint.clone(),
+            model: model.clone(),
+            tokens,
+            bytes: tokens * KV_BYTES_PER_TOKEN,
+            priority: descriptor.priority,
+            deadline: Some(live.deadline),
+            cached: router.cached(&live.prompt.blocks),
+            step: Step::Waiting,
+        });
+    }
+    rank_reclaim(&requests, options, &targets)
+}
+
+/// Exports the KV cache and imports it at the target; none when either fails.
+async fn transfer(ctx: &Rc<Ctx>, from: SocketAddr, step: &Move) -> Option<EndpointName> {
+    let to = step.to.clone()?;
+    let address = ctx.fleet.router.borrow().info(&to)?.address;
+    let export = Export { attempt: step.attempt.to_string() };
+    let exported: Exported = post(ctx, &format!("http://{from}/v1/kv/export"), &export).await?;
+    let import = Import { handle: exported.handle, from: format!("http://{from}") };
+    let imported: Imported = post(ctx, &format!("http://{address}/v1/kv/import"), &import).await?;
+    log::info!("event=kv_moved attempt={} to={to} tokens={}", step.attempt, imported.tokens);
+    Some(to)
+}
+
+async fn post<T: DeserializeOwned>(ctx: &Ctx, url: &str, body: &impl Serialize) -> Option<T> {
+    let call = ctx.endpoints.post(url).timeout(Duration::from_secs(5)).send_json(body);
+    let mut answer = match call.await {
+        Ok(answer) if answer.status().is_success() => answer,
+        Ok(answer) => {
+            log::warn!("event=kv_move_failed url={url} status={}", answer.status().as_u16());
+            return None;
+        }
+        Err(error) => {
+            log::warn!("event=kv_move_failed url={url} error={error:?}");
+            return None;
+        }
+    };
+    answer.json().await.ok()
+}
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -11,6 +11,7 @@
 use cumin_request::{Holder, HolderOptions};
 use cumin_types::Millis;
 use derive_more::{Display, Error};
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use crate::clock::Clock;
@@ -93,6 +94,8 @@
     pub(crate) decisions: Decisions,
     pub(crate) metrics: Metrics,
     pub(crate) ready: Cell<bool>,
+    /// Notified when the cloud takes this node's own instance back.
+    pub(crate) reclaimed: Notify,
 }
 
 impl Ctx {
@@ -151,6 +154,7 @@
             decisions: Decisions::default(),
             metrics: Metrics::new(),
             ready: Cell::new(true),
+            reclaimed: Notify::new(),
             settings,
             options,
         });
@@ -182,6 +186,11 @@
         self.peers.address()
     }
 
+    /// Completes when the cloud takes this node's instance back; the node should be stopped.
+    pub async fn reclaimed(&self) {
+        self.ctx.reclaimed.notified().await;
+    }
+
     /// Stops without cutting off a request: finishes what can finish within the drain time and
     /// hands the rest to second nodes.
     pub async fn stop(self) {
@@ -260,6 +269,7 @@
     if let Some(live) = ctx.table.get(id) {
         let run = live.run.borrow();
         return Some(Found {
+            org: run.descriptor().org.clone(),
             epoch: run.descriptor().epoch,
             position: run.transcript().position(),
             done: live.sealed().is_some(),
@@ -268,6 +278,7 @@
     }
     let held = ctx.holder.borrow().look(id, ctx.clock.now())?;
     Some(Found {
+        org: held.descriptor.org,
         epoch: held.descriptor.epoch,
         position: held.transcript.position(),
         done: held.finish.is_some(),
--- a/crates/cumin-node/src/peer/rpc.rs
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -1,14 +1,16 @@
 //! The methods that nodes offer each other.
 
 use cumin_request::{Ack, Given, Progress, Refused};
-use cumin_types::{Epoch, NodeName, Position, RequestId};
+use cumin_types::{Epoch, NodeName, Organisation, Position, RequestId};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 
 /// What a node knows of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Found {
+    /// Whose request it is.
+    pub org: Organisation,
     /// The epoch that the node has.
     pub epoch: Epoch,
     /// The number of tokens that the node has.
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use actix_http::body::{BoxBody, MessageBody};
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use cumin_http::{Handler, Options, Server};
 use cumin_request::{Ack, Given, Progress, Refused};
 use cumin_types::{NodeName, RequestId};
@@ -112,7 +112,8 @@
     match module.raw_json_request(text, 1).await {
         Ok((answer, _)) => Response::build(StatusCode::OK)
             .insert_header(("content-type", "application/json"))
-            .body(String::from(Box::<str>::from(answer)).boxed()),
+            .body(String::from(Box::<str>::from(answer)))
+            .map_into_boxed_body(),
         Err(error) => {
             log::warn!("event=peer_call_malformed error={error:?}");
             Response::new(StatusCode::BAD_REQUEST)
--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -32,9 +32,9 @@
         let attempt = AttemptId::now();
         live.run.borrow_mut().begin(attempt, picked.name.clone());
         ctx.metrics.attempts.inc();
-        ctx.fleet.started(&picked, live, attempt);
+        ctx.fleet.started(&picked, live, attempt, ctx.clock.now());
         let ended = follow(ctx, live, &picked, attempt).await;
-        ctx.fleet.ended(ctx, &picked, live, attempt, broke_of(&ended).as_ref());
+        ctx.fleet.ended(ctx, &picked, attempt, broke_of(&ended).as_ref());
         match ended {
             Ended::Whole(finish) => {
                 live.run.borrow_mut().complete(attempt, finish);
--- a/crates/cumin-node/src/request/live.rs
+++ b/crates/cumin-node/src/request/live.rs
@@ -8,6 +8,7 @@
 use cumin_types::{Descriptor, EndpointName, Millis, Position, RequestId};
 use tokio::sync::Notify;
 
+use crate::fleet::Prompt;
 use crate::member::Member;
 
 /// What the runner of a request is told from outside.
@@ -32,6 +33,8 @@
     pub(crate) run: RefCell<Run>,
     /// When the answer is of no more use.
     pub(crate) deadline: Millis,
+    /// What the prompt means to the choice of an endpoint.
+    pub(crate) prompt: Prompt,
     second: RefCell<Option<Member>>,
     acked: Cell<Position>,
     sealed: Cell<bool>,
@@ -48,6 +51,7 @@
     pub(crate) fn new(descriptor: Descriptor, transcript: Transcript, now: Millis) -> Rc<Self> {
         Rc::new(Self {
             id: descriptor.id,
+            prompt: Prompt::of(&descriptor.call, &descriptor.body),
             deadline: now.plus(descriptor.left.0),
             run: RefCell::new(Run::new(descriptor, transcript)),
             second: RefCell::default(),
--- a/crates/cumin-node/src/request/plain.rs
+++ b/crates/cumin-node/src/request/plain.rs
@@ -61,9 +61,9 @@
         let attempt = AttemptId::now();
         live.run.borrow_mut().begin(attempt, picked.name.clone());
         ctx.metrics.attempts.inc();
-        ctx.fleet.started(&picked, live, attempt);
+        ctx.fleet.started(&picked, live, attempt, ctx.clock.now());
         let answer = call(ctx, live, descriptor, &picked, attempt).await;
-        ctx.fleet.ended(ctx, &picked, live, attempt, answer.as_ref().err());
+        ctx.fleet.ended(ctx, &picked, attempt, answer.as_ref().err());
         match answer {
             Ok(body) => {
                 let counts = Counts::default();
