Add the chained block hash of the prefix cache to cumin-wire

Engines name cached blocks by hash in their events, so whoever routes by prefix has to compute the same hashes.

Conclusion: one rule for both sides of the protocol.

--- a/crates/cumin-wire/src/engine.rs
+++ b/crates/cumin-wire/src/engine.rs
@@ -2,6 +2,7 @@
 
 use cumin_types::FencingToken;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Answer of `GET /v1/load`; lags behind the engine's state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -139,3 +140,46 @@
 pub fn tokens(text: &str) -> impl Iterator<Item = &str> {
     text.split_inclusive(char::is_whitespace)
 }
+
+/// Hashes tokens into blocks of the prefix cache, each chained to the one before it.
+///
+/// Two prompts share a block exactly when they share the model and the whole prefix up to the
+/// block's end.
+#[derive(Clone, Debug)]
+pub struct BlockChain {
+    hash: u64,
+    pending: String,
+    count: usize,
+}
+
+impl BlockChain {
+    /// Starts an empty chain; caches of different models share no block.
+    #[must_use]
+    pub fn new(model: &str) -> Self {
+        Self {
+            hash: xxh3_64(model.as_bytes()),
+            pending: String::new(),
+            count: 0,
+        }
+    }
+
+    /// Adds one token; returns the hash of the block that it completes.
+    pub fn push(&mut self, token: &str) -> Option<u64> {
+        self.pending.push_str(token);
+        self.count += 1;
+        if self.count < BLOCK_TOKENS {
+            return None;
+        }
+        self.hash = xxh3_64_with_seed(self.pending.as_bytes(), self.hash);
+        self.pending.clear();
+        self.count = 0;
+        Some(self.hash)
+    }
+}
+
+/// Returns the hashes of the whole blocks of `text`, first block first.
+#[must_use]
+pub fn block_hashes(model: &str, text: &str) -> Vec<u64> {
+    let mut chain = BlockChain::new(model);
+    tokens(text).filter_map(|token| chain.push(token)).collect()
+}
