Add stand-ins for engine, plain service, log, cloud and weight store

The node needs the outside systems to run against. Each stand-in speaks its protocol of design section 9 on a loopback socket in the calling system, takes faults at any time through fault(), counts what it saw, and can crash and come back on the same address.

Service, log, cloud and weight store compile and have no tests yet.

--- /dev/null
+++ b/crates/cumin-standin/src/cloud.rs
@@ -0,0 +1,493 @@
+//! Stand-in for the cloud API: offers, instances and reclaim notices.
+//!
+//! It starts no process. A hook tells the test when an instance starts and ends; the test starts
+//! or crashes what runs there and sets the address with [`Cloud::set_address`].
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_rt::time::Instant;
+use cumin_wire::cloud::{Instance, Instances, Kind, Market, Notice, Notices, Offer, Start, State};
+
+use crate::Outage;
+use crate::host::{self, Answer, Call, Host, Reply};
+
+/// Called when an instance becomes live and when it has stopped; `state` tells which.
+pub type Hook = Rc<dyn Fn(&Instance)>;
+
+/// How the cloud behaves.
+#[derive(Clone)]
+pub struct Options {
+    /// Address to bind.
+    pub address: SocketAddr,
+    /// What can be started.
+    pub offers: Vec<Offer>,
+    /// Names of services that are plain; others are engines, but for `entry`.
+    pub plain: Vec<String>,
+    /// Time from a start to a live instance.
+    pub boot: Duration,
+    /// Age of the listing of instances.
+    pub lag: Duration,
+    /// Time that a stopped instance stays listed.
+    pub keep: Duration,
+    /// Called on starts and ends.
+    pub hook: Option<Hook>,
+    /// Faults at the start.
+    pub faults: Faults,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: host::LOOPBACK,
+            offers: Vec::new(),
+            plain: Vec::new(),
+            boot: Duration::ZERO,
+            lag: Duration::ZERO,
+            keep: Duration::from_mins(1),
+            hook: None,
+            faults: Faults::default(),
+        }
+    }
+}
+
+/// Faults that a test switches on and off.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Unavailable, for every call.
+    pub outage: Option<Outage>,
+    /// Starts yet to be refused, 409.
+    pub refuse: u64,
+    /// Offers whose starts are refused, 409.
+    pub refuse_offers: BTreeSet<String>,
+    /// Answers of starts and stops yet to be lost after the effect.
+    pub lose: u64,
+    /// Delay before a call takes effect.
+    pub slow: Duration,
+}
+
+/// What the cloud saw.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Calls received.
+    pub calls: u64,
+    /// Instances started by calls.
+    pub starts: u64,
+    /// Starts whose client token had started an instance before.
+    pub repeats: u64,
+    /// Starts refused.
+    pub refused: u64,
+    /// Instances stopped by calls.
+    pub stops: u64,
+    /// Instances reclaimed.
+    pub reclaims: u64,
+    /// Answers lost after the effect.
+    pub lost: u64,
+}
+
+/// A running cloud API.
+pub struct Cloud {
+    host: Rc<Host>,
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    me: Weak<Self>,
+    options: Options,
+    hook: RefCell<Option<Hook>>,
+    faults: RefCell<Faults>,
+    stats: RefCell<Stats>,
+    fleet: RefCell<Fleet>,
+}
+
+#[derive(Default)]
+struct Fleet {
+    offers: Vec<Offer>,
+    next: u64,
+    instances: Vec<(Instance, Option<Instant>)>,
+    tokens: HashMap<String, String>,
+    notices: Vec<(Instant, Notice)>,
+    /// Past listings, newest last; the first is the newest that has the age of the listing.
+    past: VecDeque<(Instant, Instances)>,
+}
+
+impl Fleet {
+    fn get(&mut self, id: &str) -> Option<&mut Instance> {
+        let mut all = self.instances.iter_mut();
+        all.find(|(instance, _)| instance.id == id)
+            .map(|(instance, _)| instance)
+    }
+
+    /// Drops instances that stopped long ago.
+    fn forget(&mut self, keep: Duration) {
+        let before = self.instances.len();
+        self.instances
+            .retain(|(_, stopped)| stopped.is_none_or(|at| at.elapsed() <= keep));
+        if self.instances.len() < before {
+            self.note();
+        }
+    }
+
+    /// Notes the listing as it is now.
+    fn note(&mut self) {
+        let instances = self.instances.iter();
+        let instances = instances.map(|(instance, _)| instance.clone()).collect();
+        self.past
+            .push_back((Instant::now(), Instances { instances }));
+    }
+
+    fn listing(&mut self, lag: Duration) -> Instances {
+        while self.past.get(1).is_some_and(|(at, _)| at.elapsed() >= lag) {
+            self.past.pop_front();
+        }
+        match self.past.front() {
+            Some((at, listing)) if at.elapsed() >= lag => listing.clone(),
+            _ => Instances::default(),
+        }
+    }
+}
+
+impl Cloud {
+    /// Starts the cloud API.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub fn start(options: Options) -> io::Result<Self> {
+        let address = options.address;
+        let shared = Rc::new_cyclic(|me| Shared {
+            me: Weak::clone(me),
+            hook: RefCell::new(options.hook.clone()),
+            faults: RefCell::new(options.faults.clone()),
+            stats: RefCell::default(),
+            fleet: RefCell::new(Fleet {
+                offers: options.offers.clone(),
+                ..Fleet::default()
+            }),
+            options,
+        });
+        let host = Host::start(address, &shared)?;
+        Ok(Self { host, shared })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Returns what the cloud saw so far.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        *self.shared.stats.borrow()
+    }
+
+    /// Changes the faults.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.faults.borrow_mut());
+    }
+
+    /// Replaces the hook.
+    pub fn set_hook(&self, hook: Hook) {
+        *self.shared.hook.borrow_mut() = Some(hook);
+    }
+
+    /// Replaces the offers, such as after a change of prices.
+    pub fn set_offers(&self, offers: Vec<Offer>) {
+        self.shared.fleet.borrow_mut().offers = offers;
+    }
+
+    /// Lists an instance that the test runs already; replaces one of the same id.
+    pub fn register(&self, instance: Instance) {
+        let mut fleet = self.shared.fleet.borrow_mut();
+        fleet.instances.retain(|(old, _)| old.id != instance.id);
+        fleet.instances.push((instance, None));
+        fleet.note();
+    }
+
+    /// Sets the address of what runs on an instance.
+    pub fn set_address(&self, instance: &str, address: SocketAddr) {
+        self.shared.change(instance, |instance| {
+            instance.address = Some(address.to_string());
+        });
+    }
+
+    /// Returns all instances as they are, without the listing's lag.
+    #[must_use]
+    pub fn instances(&self) -> Vec<Instance> {
+        let fleet = self.shared.fleet.borrow();
+        let all = fleet.instances.iter();
+        all.map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Takes an instance back after `notice`; false when it does not run.
+    #[expect(clippy::must_use_candidate, reason = "called for its effect")]
+    pub fn reclaim(&self, instance: &str, notice: Duration) -> bool {
+        self.shared.reclaim(instance, notice)
+    }
+
+    /// Takes back every reclaimable instance of a place; returns their ids.
+    #[expect(clippy::must_use_candidate, reason = "called for its effect")]
+    pub fn reclaim_place(&self, place: &str, notice: Duration) -> Vec<String> {
+        let all = self.instances().into_iter();
+        all.filter(|instance| instance.place == place && instance.market == Market::Reclaimable)
+            .filter(|instance| self.shared.reclaim(&instance.id, notice))
+            .map(|instance| instance.id)
+            .collect()
+    }
+
+    /// Ends an instance at once and without a notice; false when it does not run.
+    #[expect(clippy::must_use_candidate, reason = "called for its effect")]
+    pub fn fail(&self, instance: &str) -> bool {
+        self.shared.end(instance)
+    }
+
+    /// Closes the listener and all connections at once.
+    pub fn crash(&self) {
+        self.host.crash();
+    }
+
+    /// Serves again on the same address, with its instances.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.host.restart().await
+    }
+}
+
+impl Answer for Shared {
+    async fn answer(self: Rc<Self>, call: Call) -> Reply {
+        self.stats.borrow_mut().calls += 1;
+        let faults = self.faults.borrow().clone();
+        if let Some(reply) = host::pass(faults.outage).await {
+            return reply;
+        }
+        // A task of its own: a start whose caller gave up still takes effect.
+        let task = actix_rt::spawn(async move {
+            host::delay(faults.slow).await;
+            self.serve(&call)
+        });
+        task.await.unwrap_or_else(|_| host::lost())
+    }
+}
+
+impl Shared {
+    fn serve(&self, call: &Call) -> Reply {
+        let (method, parts) = call.route();
+        match (method, parts.as_slice()) {
+            ("GET", ["v1", "offers"]) => host::json(StatusCode::OK, &self.fleet.borrow().offers),
+            ("GET", ["v1", "instances"]) => {
+                let mut fleet = self.fleet.borrow_mut();
+                fleet.forget(self.options.keep);
+                host::json(StatusCode::OK, &fleet.listing(self.options.lag))
+            }
+            ("POST", ["v1", "instances"]) => match call.json() {
+                Ok(start) => self.start(&start),
+                Err(reply) => reply,
+            },
+            ("DELETE", ["v1", "instances", id]) => self.stop(id),
+            ("GET", ["v1", "notices"]) => host::json(
+                StatusCode::OK,
+                &self.notices(call.number("after").unwrap_or(0)),
+            ),
+            _ => host::missing(call),
+        }
+    }
+
+    fn start(&self, start: &Start) -> Reply {
+        let known = self.fleet.borrow().tokens.get(&start.token).cloned();
+        if let Some(id) = known {
+            self.stats.borrow_mut().repeats += 1;
+            return match self.fleet.borrow_mut().get(&id) {
+                Some(instance) => self.confirm(instance),
+                None => host::refuse(
+                    StatusCode::CONFLICT,
+                    "token_used",
+                    &format!("token {:?} started {id}, which has stopped", start.token),
+                ),
+            };
+        }
+        let offers = self.fleet.borrow().offers.clone();
+        let Some(offer) = offers.into_iter().find(|offer| offer.id == start.offer) else {
+            let message = format!("offer {:?} does not exist", start.offer);
+            return host::refuse(StatusCode::NOT_FOUND, "no_offer", &message);
+        };
+        let mut faults = self.faults.borrow_mut();
+        if faults.refuse_offers.contains(&offer.id) || host::take(&mut faults.refuse) {
+            self.stats.borrow_mut().refused += 1;
+            let message = format!("offer {:?} has no capacity", offer.id);
+            return host::refuse(StatusCode::CONFLICT, "no_capacity", &message);
+        }
+        drop(faults);
+        self.stats.borrow_mut().starts += 1;
+        let instance = self.create(start, offer);
+        self.boot(instance.id.clone());
+        let now = self.fleet.borrow_mut().get(&instance.id).cloned();
+        self.confirm(&now.unwrap_or(instance))
+    }
+
+    fn create(&self, start: &Start, offer: Offer) -> Instance {
+        let kind = match start.service.as_str() {
+            "entry" => Kind::Entry,
+            name if self.options.plain.iter().any(|plain| plain == name) => Kind::Plain,
+            _ => Kind::Engine,
+        };
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.next += 1;
+        let instance = Instance {
+            id: format!("i-{}", fleet.next),
+            token: start.token.clone(),
+            kind,
+            service: start.service.clone(),
+            place: offer.place,
+            class: offer.class,
+            market: offer.market,
+            price: offer.price,
+            state: State::Starting,
+            address: None,
+        };
+        let (token, id) = (start.token.clone(), instance.id.clone());
+        fleet.tokens.insert(token, id);
+        fleet.instances.push((instance.clone(), None));
+        fleet.note();
+        instance
+    }
+
+    /// Makes the instance live after the boot time, at once when that is zero.
+    fn boot(&self, id: String) {
+        let time = self.options.boot;
+        if time.is_zero() {
+            return self.live(&id);
+        }
+        let me = Weak::clone(&self.me);
+        actix_rt::spawn(async move {
+            host::delay(time).await;
+            if let Some(shared) = me.upgrade() {
+                shared.live(&id);
+            }
+        });
+    }
+
+    fn live(&self, id: &str) {
+        let starting = |instance: &mut Instance| {
+            let starting = instance.state == State::Starting;
+            if starting {
+                instance.state = State::Live;
+            }
+            starting.then(|| instance.clone())
+        };
+        if let Some(Some(instance)) = self.change(id, starting) {
+            self.call_hook(&instance);
+        }
+    }
+
+    fn stop(&self, id: &str) -> Reply {
+        if self.fleet.borrow_mut().get(id).is_none() {
+            let message = format!("instance {id:?} does not exist");
+            return host::refuse(StatusCode::NOT_FOUND, "no_instance", &message);
+        }
+        if self.end(id) {
+            self.stats.borrow_mut().stops += 1;
+        }
+        match self.fleet.borrow_mut().get(id) {
+            Some(instance) => self.confirm(instance),
+            None => host::json(StatusCode::OK, &serde_json::json!({})),
+        }
+    }
+
+    /// Answers with the instance, unless the answer is to be lost.
+    fn confirm(&self, instance: &Instance) -> Reply {
+        if host::take(&mut self.faults.borrow_mut().lose) {
+            self.stats.borrow_mut().lost += 1;
+            return host::lost();
+        }
+        host::json(StatusCode::OK, instance)
+    }
+
+    fn reclaim(&self, id: &str, notice: Duration) -> bool {
+        let leave = |instance: &mut Instance| {
+            let runs = matches!(instance.state, State::Starting | State::Live);
+            if runs {
+                instance.state = State::Leaving;
+            }
+            runs
+        };
+        if self.change(id, leave) != Some(true) {
+            return false;
+        }
+        self.stats.borrow_mut().reclaims += 1;
+        let mut fleet = self.fleet.borrow_mut();
+        let notice_of = Notice {
+            seq: fleet.notices.len() as u64 + 1,
+            instance: id.into(),
+            left_ms: u64::try_from(notice.as_millis()).unwrap_or(u64::MAX),
+            age_ms: 0,
+        };
+        fleet.notices.push((Instant::now(), notice_of));
+        drop(fleet);
+        if notice.is_zero() {
+            return self.end(id);
+        }
+        let (me, id) = (Weak::clone(&self.me), id.to_string());
+        actix_rt::spawn(async move {
+            host::delay(notice).await;
+            if let Some(shared) = me.upgrade() {
+                shared.end(&id);
+            }
+        });
+        true
+    }
+
+    fn notices(&self, after: u64) -> Notices {
+        let fleet = self.fleet.borrow();
+        let later = fleet
+            .notices
+            .iter()
+            .filter(|(_, notice)| notice.seq > after);
+        let notices = later.map(|(at, notice)| Notice {
+            age_ms: u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX),
+            ..notice.clone()
+        });
+        Notices {
+            notices: notices.collect(),
+        }
+    }
+
+    fn end(&self, id: &str) -> bool {
+        let mut fleet = self.fleet.borrow_mut();
+        let found = fleet.instances.iter_mut().find(|(old, _)| old.id == id);
+        let Some((instance, stopped)) = found else {
+            return false;
+        };
+        if instance.state == State::Stopped {
+            return false;
+        }
+        instance.state = State::Stopped;
+        *stopped = Some(Instant::now());
+        let ended = instance.clone();
+        fleet.note();
+        drop(fleet);
+        self.call_hook(&ended);
+        true
+    }
+
+    fn change<T>(&self, id: &str, change: impl FnOnce(&mut Instance) -> T) -> Option<T> {
+        let mut fleet = self.fleet.borrow_mut();
+        let result = change(fleet.get(id)?);
+        fleet.note();
+        Some(result)
+    }
+
+    /// Calls the hook with no state borrowed, so that it can call the cloud.
+    fn call_hook(&self, instance: &Instance) {
+        let hook = self.hook.borrow().clone();
+        if let Some(hook) = hook {
+            hook(instance);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumin-standin/tests/all/calls.rs
@@ -0,0 +1,112 @@
+//! Helpers to call a stand-in as a client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use cumin_wire::completion::Chunk;
+use cumin_wire::sse::Reader;
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Sends one call; `None` when the connection closes or nothing comes in two seconds.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&'static str, &str)],
+    body: impl Serialize,
+) -> Option<(StatusCode, String)> {
+    let method: Method = method.parse().expect("a method");
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(2))
+        .finish();
+    let mut request = client.request(method, format!("http://{address}{path}"));
+    for &(name, value) in headers {
+        request = request.insert_header((name, value));
+    }
+    let body = serde_json::to_string(&body).expect("JSON");
+    let mut answer = request.send_body(body).await.ok()?;
+    let body = answer.body().await.ok()?;
+    let text = String::from_utf8(body.to_vec()).expect("text");
+    Some((answer.status(), text))
+}
+
+/// Sends a call that must be answered with 2xx and parses the answer.
+pub async fn ok<T: DeserializeOwned>(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: impl Serialize,
+) -> T {
+    let answer = call(address, method, path, &[], body).await;
+    let (status, text) = answer.expect("an answer");
+    assert!(status.is_success(), "{method} {path}: {status} {text}");
+    serde_json::from_str(&text).expect("the wire type")
+}
+
+/// Returns the status of a call that must be answered.
+pub async fn status(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: impl Serialize,
+) -> StatusCode {
+    let answer = call(address, method, path, &[], body).await;
+    answer.expect("an answer").0
+}
+
+/// A streamed answer as far as it came.
+#[derive(Debug, Default)]
+pub struct Streamed {
+    /// Position and chunk of each event.
+    pub chunks: Vec<(u64, Chunk)>,
+    /// True when `[DONE]` came.
+    pub done: bool,
+}
+
+impl Streamed {
+    /// Returns the text of the events of one attempt.
+    pub fn text(&self, attempt: &str) -> String {
+        let own = self.chunks.iter().map(|(_, chunk)| chunk);
+        own.filter(|chunk| chunk.attempt.as_deref() == Some(attempt))
+            .map(Chunk::content)
+            .collect()
+    }
+}
+
+/// Reads a stream until it ends, breaks or is silent for `silence`.
+pub async fn stream(
+    address: SocketAddr,
+    attempt: &str,
+    priority: &str,
+    body: serde_json::Value,
+    silence: Duration,
+) -> Streamed {
+    let client = awc::Client::new();
+    let request = client
+        .post(format!("http://{address}/v1/chat/completions"))
+        .insert_header(("x-attempt-id", attempt))
+        .insert_header(("x-priority", priority));
+    let mut streamed = Streamed::default();
+    let sent = actix_rt::time::timeout(silence, request.send_json(&body)).await;
+    let Ok(Ok(mut answer)) = sent else {
+        return streamed;
+    };
+    assert_eq!(answer.status(), StatusCode::OK);
+    let mut reader = Reader::default();
+    while let Ok(Some(Ok(bytes))) = actix_rt::time::timeout(silence, answer.next()).await {
+        reader.push(&bytes).expect("events of a sane size");
+        while let Some(event) = reader.next_event().expect("UTF-8") {
+            if event.data == "[DONE]" {
+                streamed.done = true;
+                continue;
+            }
+            let id = event.id.and_then(|id| id.parse().ok()).expect("a position");
+            let chunk = serde_json::from_str(&event.data).expect("a chunk");
+            streamed.chunks.push((id, chunk));
+        }
+    }
+    streamed
+}
