--- a/crates/cumin-node/src/fleet.rs
+++ b/crates/cumin-node/src/fleet.rs
@@ -44,7 +44,7 @@
 impl Prompt {
     /// Reads the prompt of a completion; empty for a plain call.
     pub(crate) fn of(call: &Call, body: &str) -> Self {
-        let Call::Completion { .. } = call else {
+        let Call::Completion { model, .. } = call else {
             return Self::default();
         };
         let Ok(body) = serde_json::from_str::<cumin_wire::completion::Request>(body) else {
@@ -52,7 +52,7 @@
         };
         let text = body.prompt_text();
         Self {
-            blocks: cumin_wire::engine::blocks(&text),
+            blocks: cumin_wire::engine::block_hashes(model.as_str(), &text),
             tokens: cumin_wire::engine::tokens(&text).count() as u64,
             output: body.max_tokens.unwrap_or(EXPECTED_OUTPUT),
         }
