Add the caller library, the testbed and the first tests over sockets

The whole path runs: a chat streams through one of four nodes to one of ten engines, and keeps every token when the engine is reclaimed or crashes and when the node crashes or is stopped.

--- a/crates/cumin-node/src/member.rs
+++ b/crates/cumin-node/src/member.rs
@@ -3,13 +3,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
 use cumin_types::{NodeName, Place, RequestId, rank};
 use serde::{Deserialize, Serialize};
 
+use crate::node::Ctx;
+use crate::peer::PeerClient;
+
 /// A node as others address it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Member {
+pub struct Member {
     pub(crate) name: NodeName,
     pub(crate) place: Place,
     /// Where callers connect.
@@ -24,6 +29,46 @@
     }
 }
 
+/// Period of greeting the other nodes.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// Greets every node and every seed for ever; a node that does not answer is dropped.
+pub(crate) async fn greet(ctx: Rc<Ctx>) {
+    loop {
+        let known: Vec<_> = ctx.members.others.borrow().values().cloned().collect();
+        let seeds = ctx.settings.seeds.iter().copied();
+        let mut targets: Vec<_> = seeds.chain(known.iter().map(|member| member.rpc)).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        for target in targets
+            .into_iter()
+            .filter(|target| *target != ctx.members.me.rpc)
+        {
+            let Ok(client) = ctx.client.to(target) else {
+                continue;
+            };
+            match client
+                .hello(ctx.members.me.clone(), ctx.members.leaving())
+                .await
+            {
+                Ok(members) => {
+                    for member in members {
+                        if !ctx.members.others.borrow().contains_key(&member.name) {
+                            ctx.members.heard(member, false);
+                        }
+                    }
+                }
+                Err(_) => ctx
+                    .members
+                    .others
+                    .borrow_mut()
+                    .retain(|_, member| member.rpc != target),
+            }
+        }
+        actix_rt::time::sleep(PERIOD).await;
+    }
+}
+
 /// Members by name, this node among them.
 pub(crate) struct Members {
     me: Member,
@@ -33,7 +78,11 @@
 
 impl Members {
     pub(crate) fn new(me: Member) -> Self {
-        Self { me, leaving: Cell::new(false), others: RefCell::default() }
+        Self {
+            me,
+            leaving: Cell::new(false),
+            others: RefCell::default(),
+        }
     }
 
     pub(crate) fn me(&self) -> &Member {
@@ -48,16 +97,22 @@
         self.leaving.get()
     }
 
-    pub(crate) fn set(&self, members: impl IntoIterator<Item = Member>) {
-        let others = members.into_iter().filter(|member| member.name != self.me.name);
-        *self.others.borrow_mut() =
-            others.map(|member| (member.name.clone(), member)).collect();
+    /// Takes in a node that spoke to this one; returns all live nodes.
+    pub(crate) fn heard(&self, member: Member, leaving: bool) -> Vec<Member> {
+        if leaving {
+            self.others.borrow_mut().remove(&member.name);
+        } else if member.name != self.me.name {
+            self.others.borrow_mut().insert(member.name.clone(), member);
+        }
+        self.entries()
     }
 
     /// Returns the live nodes, this one first unless it is leaving.
     pub(crate) fn entries(&self) -> Vec<Member> {
         let me = (!self.leaving.get()).then(|| self.me.clone());
-        me.into_iter().chain(self.others.borrow().values().cloned()).collect()
+        me.into_iter()
+            .chain(self.others.borrow().values().cloned())
+            .collect()
     }
 
     /// Returns the live node of that name, other than this one.
--- a/crates/cumin-node/src/peer/rpc.rs
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -1,5 +1,6 @@
 //! The methods that nodes offer each other.
 
+use crate::member::Member;
 use cumin_request::{Ack, Given, Progress, Refused};
 use cumin_types::{Epoch, NodeName, Organisation, Position, RequestId};
 use jsonrpsee::core::RpcResult;
@@ -24,6 +25,10 @@
 /// Methods between nodes.
 #[rpc(server, client)]
 pub trait Peer {
+    /// Names the sender and returns the nodes that the receiver knows, itself among them.
+    #[method(name = "member_hello")]
+    async fn hello(&self, member: Member, leaving: bool) -> RpcResult<Vec<Member>>;
+
     /// Asks the node to be the second of a request.
     #[method(name = "request_hold")]
     async fn hold(&self, given: Given) -> RpcResult<Result<(), Refused>>;
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -18,6 +18,7 @@
 
 use super::rpc::{Found, PeerServer};
 use crate::caller::read_body;
+use crate::member::Member;
 
 /// Largest body between nodes, bytes: one request with its answer, or a batch of progress.
 const MAX_BODY: usize = 64 << 20;
@@ -28,6 +29,7 @@
 
 /// A call from another node, answered by the node's own task.
 pub(crate) enum Call {
+    Hello(Member, bool, Reply<Vec<Member>>),
     Hold(Box<Given>, Reply<Result<(), Refused>>),
     Progress(Vec<Progress>, Reply<Vec<Ack>>),
     Find(RequestId, Reply<Option<Found>>),
@@ -54,6 +56,10 @@
 
 #[async_trait]
 impl PeerServer for Forward {
+    async fn hello(&self, member: Member, leaving: bool) -> RpcResult<Vec<Member>> {
+        self.ask(|reply| Call::Hello(member, leaving, reply)).await
+    }
+
     async fn hold(&self, given: Given) -> RpcResult<Result<(), Refused>> {
         self.ask(|reply| Call::Hold(Box::new(given), reply)).await
     }
@@ -96,7 +102,10 @@
     module: &RpcModule<Forward>,
     wanted: &str,
 ) -> Response<BoxBody> {
-    let given = request.headers().get("authorization").map_or(&b""[..], |value| value.as_bytes());
+    let given = request
+        .headers()
+        .get("authorization")
+        .map_or(&b""[..], |value| value.as_bytes());
     if !bool::from(given.ct_eq(wanted.as_bytes())) {
         return Response::new(StatusCode::UNAUTHORIZED);
     }
--- /dev/null
+++ b/crates/cumin-testbed/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the whole path over sockets.
+
+mod support;
+
+mod streams;
--- /dev/null
+++ b/crates/cumin-testbed/tests/all/support.rs
@@ -0,0 +1,41 @@
+use cumin_config::Document;
+use cumin_standin::engine;
+use cumin_testbed::{Options, Testbed};
+use cumin_wire::completion::{Message, Request};
+
+/// Demo key of an organisation in `examples/bakers.toml`.
+pub const KEY: &str = "demo-hamilton-ovens-1";
+/// Demo key of another one.
+pub const OTHER: &str = "demo-cambridge-loaves-1";
+
+pub fn document() -> Document {
+    let text = include_str!("../../../../examples/bakers.toml");
+    Document::parse(text).expect("the example is valid")
+}
+
+pub async fn testbed(options: Options) -> Testbed {
+    let _ = env_logger::builder().is_test(true).try_init();
+    Testbed::start(document(), options)
+        .await
+        .expect("the testbed starts")
+}
+
+pub fn chat(prompt: &str, max_tokens: u64) -> Request {
+    Request {
+        model: "crumb-8b".into(),
+        messages: Some(vec![Message {
+            role: "user".into(),
+            content: prompt.into(),
+        }]),
+        max_tokens: Some(max_tokens),
+        ..Request::default()
+    }
+}
+
+/// Returns what the engines generate for `request`.
+pub fn expected(request: &Request) -> Vec<String> {
+    engine::answer(
+        &request.prompt_text(),
+        request.max_tokens.unwrap_or(engine::DEFAULT_TOKENS),
+    )
+}
