Add cumin-state: folds, append machine, recorder, leases, terms

Cause: nodes need one place that decides what the log means: claims, leases, revisions and terms, and what a lost append answer allows them to say. Change: the crate with its public signatures and a first implementation of every slice. No input or output; time, randomness and log answers come in. Conclusion: signatures are ready for the node to be wired against.

--- /dev/null
+++ b/crates/cumin-state/src/claim.rs
@@ -0,0 +1,554 @@
+//! Claims and outcomes of one shard, by key.
+//!
+//! The first claim for a key wins. Only its author frees the key again with `not_run`, and the
+//! freed claim's id stays on record until the key expires, so that a late copy of the claim
+//! has no effect. A key expires by its own time against the log's time, and the floor below
+//! which keys are refused never falls; at most once therefore holds with finite state.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cumin_types::{ClaimKey, Digest, Fingerprint, LogOffset, RecordId, WallMillis};
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::batch::Author;
+use crate::fold::{At, State};
+use crate::pairs;
+
+/// Freed claims that a key may have; it is closed beyond them.
+pub const FREED: usize = 64;
+
+/// Bounds of [`Claims`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Options {
+    /// Milliseconds after its creation that a key is accepted.
+    pub window: u64,
+    /// Milliseconds that a key's creation may be in the future.
+    pub ahead: u64,
+    /// Bytes of a recorded answer; a longer one is kept as a digest.
+    pub answer: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            window: 24 * 3_600_000,
+            ahead: 60_000,
+            answer: 16 * 1024,
+        }
+    }
+}
+
+/// The body of a recorded answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kept {
+    /// The whole body.
+    Whole(String),
+    /// The body was longer than the bound.
+    Digest {
+        /// Digest of the body.
+        digest: Digest,
+        /// Its length in bytes.
+        bytes: u64,
+    },
+}
+
+/// An endpoint's answer as it is recorded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content: Option<String>,
+    /// Body as text, in the shell's encoding.
+    pub body: Kept,
+}
+
+impl Answer {
+    /// Keeps `body` whole when it has at most `bound` bytes.
+    #[must_use]
+    pub fn new(status: u16, content: Option<String>, body: String, bound: usize) -> Self {
+        let body = if body.len() <= bound {
+            Kept::Whole(body)
+        } else {
+            digested(&body)
+        };
+        Self {
+            status,
+            content,
+            body,
+        }
+    }
+}
+
+fn digested(body: &str) -> Kept {
+    Kept::Digest {
+        digest: Digest::of(body.as_bytes()),
+        bytes: body.len() as u64,
+    }
+}
+
+/// Asks for a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Same for each submission of one claim.
+    pub id: RecordId,
+    /// What is claimed.
+    pub key: ClaimKey,
+    /// The only one who may dispatch the call.
+    pub author: Author,
+    /// What the call carries, to detect another call under the same key.
+    pub print: Fingerprint,
+}
+
+/// How a claimed call ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "ending")]
+pub enum Ending {
+    /// The endpoint answered.
+    Done {
+        /// Its answer.
+        answer: Answer,
+    },
+    /// It was not dispatched, or the endpoint said that it did not start.
+    NotRun,
+    /// It may have taken effect.
+    Unknown,
+}
+
+/// Records how a claimed call ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settle {
+    /// The claim.
+    pub claim: RecordId,
+    /// Its key.
+    pub key: ClaimKey,
+    /// Who says so.
+    pub author: Author,
+    /// How it ended.
+    #[serde(flatten)]
+    pub ending: Ending,
+}
+
+/// A key's state carried over from another log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Carried {
+    /// The key.
+    pub key: ClaimKey,
+    /// Its state there.
+    pub slot: Slot,
+}
+
+/// What the stream's batches carry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Record {
+    /// Asks for a key.
+    Claim(Claim),
+    /// Says how a claimed call ended.
+    Settle(Settle),
+    /// Carries keys over from another log.
+    Carry {
+        /// The keys.
+        keys: Vec<Carried>,
+    },
+}
+
+/// The claim that holds a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Id of the claim.
+    pub claim: RecordId,
+    /// Who made it.
+    pub author: Author,
+    /// What its call carries.
+    pub print: Fingerprint,
+    /// Where the log put it.
+    pub offset: LogOffset,
+    /// How far it is.
+    pub stage: Stage,
+}
+
+/// How far a claim is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "stage")]
+pub enum Stage {
+    /// Its author may dispatch it or has done so.
+    InFlight,
+    /// The endpoint answered.
+    Done {
+        /// Its answer.
+        answer: Answer,
+    },
+    /// It may have taken effect.
+    Unknown,
+}
+
+impl Standing {
+    fn is_open(&self, claim: RecordId, author: &Author) -> bool {
+        self.claim == claim && self.author == *author && self.stage == Stage::InFlight
+    }
+
+    /// What a caller is told: a claim in flight whose author is gone is unknown.
+    #[must_use]
+    pub fn seen(&self, gone: impl FnOnce(&Author) -> bool) -> Stage {
+        match &self.stage {
+            Stage::InFlight if gone(&self.author) => Stage::Unknown,
+            stage => stage.clone(),
+        }
+    }
+}
+
+/// All that is known of a key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slot {
+    /// The claim that holds it.
+    pub held: Option<Standing>,
+    /// Claims that were freed, by whom; a late copy of one has no effect.
+    pub freed: BTreeSet<(RecordId, Author)>,
+}
+
+impl Slot {
+    fn has_freed(&self, claim: RecordId, author: &Author) -> bool {
+        self.freed
+            .iter()
+            .any(|(id, by)| *id == claim && by == author)
+    }
+}
+
+/// Why a record has no effect.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// The key is not a UUIDv7.
+    #[display("the key is not a UUIDv7")]
+    Untimed,
+    /// The key is older than the window.
+    #[display("the key is older than the retention window")]
+    Expired,
+    /// The key's time is too far in the future.
+    #[display("the key's time is in the future")]
+    Future,
+    /// Its author freed this claim.
+    #[display("the claim was recorded as not run")]
+    Freed,
+    /// The key was freed as often as the bound allows.
+    #[display("the key was freed too often")]
+    Closed,
+    /// The key is from a time of which records were lost.
+    #[display("records of the key's time were lost")]
+    Forgotten,
+    /// Only the claim's author may say so.
+    #[display("only the claim's author may record this")]
+    NotAuthor,
+    /// The claim does not hold the key, or ended otherwise.
+    #[display("the claim does not hold the key")]
+    Superseded,
+}
+
+/// What a record did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The claim holds the key.
+    Granted,
+    /// Another claim holds the key.
+    Taken,
+    /// The ending is on record.
+    Settled,
+    /// So many keys were carried over.
+    Carried(usize),
+    /// No effect.
+    Refused(Refusal),
+}
+
+/// What a claim would find.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Look {
+    /// Nobody holds the key.
+    Free,
+    /// This claim holds the key and is in flight.
+    Mine,
+    /// The key is held; also by this claim once it has ended.
+    Held(Standing),
+    /// The claim can have no effect.
+    Refused(Refusal),
+}
+
+/// The creation time that a key carries, for a UUIDv7.
+#[must_use]
+pub fn key_time(key: &Uuid) -> Option<WallMillis> {
+    (key.get_version_num() == 7).then(|| {
+        let millis = key.as_u128() >> 80;
+        WallMillis(u64::try_from(millis).unwrap_or(u64::MAX))
+    })
+}
+
+/// State of one shard.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Claims {
+    options: Options,
+    /// The log's latest time.
+    time: WallMillis,
+    /// Keys made before this are refused; never falls.
+    floor: WallMillis,
+    /// Records about keys made before this may be lost.
+    forgotten: WallMillis,
+    #[serde(with = "pairs")]
+    keys: BTreeMap<ClaimKey, Slot>,
+    #[serde(with = "pairs")]
+    expiry: BTreeMap<WallMillis, BTreeSet<ClaimKey>>,
+}
+
+impl Claims {
+    /// No claim.
+    #[must_use]
+    pub const fn new(options: Options) -> Self {
+        Self {
+            options,
+            time: WallMillis(0),
+            floor: WallMillis(0),
+            forgotten: WallMillis(0),
+            keys: BTreeMap::new(),
+            expiry: BTreeMap::new(),
+        }
+    }
+
+    /// The bounds.
+    #[must_use]
+    pub const fn options(&self) -> Options {
+        self.options
+    }
+
+    /// Keys on record.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// True when no key is on record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// The log's latest time.
+    #[must_use]
+    pub const fn time(&self) -> WallMillis {
+        self.time
+    }
+
+    /// All that is known of `key`.
+    #[must_use]
+    pub fn slot(&self, key: &ClaimKey) -> Option<&Slot> {
+        self.keys.get(key)
+    }
+
+    /// Every key on record, to carry it to another log.
+    pub fn export(&self) -> impl Iterator<Item = Carried> + '_ {
+        self.keys.iter().map(|(key, slot)| Carried {
+            key: key.clone(),
+            slot: slot.clone(),
+        })
+    }
+
+    /// Says whether `key` may be claimed by its age alone, at `wall`.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn check(&self, key: &ClaimKey, wall: WallMillis) -> Result<(), Refusal> {
+        let made = key_time(&key.key).ok_or(Refusal::Untimed)?;
+        if made < self.floor || made.plus(self.options.window) <= wall {
+            return Err(Refusal::Expired);
+        }
+        if made > wall.plus(self.options.ahead) {
+            return Err(Refusal::Future);
+        }
+        Ok(())
+    }
+
+    /// Says what `claim` finds at the fold's position.
+    #[must_use]
+    pub fn look(&self, claim: &Claim) -> Look {
+        let Some(made) = key_time(&claim.key.key) else {
+            return Look::Refused(Refusal::Untimed);
+        };
+        let slot = self.keys.get(&claim.key);
+        if slot.is_some_and(|slot| slot.has_freed(claim.id, &claim.author)) {
+            return Look::Refused(Refusal::Freed);
+        }
+        match slot.and_then(|slot| slot.held.as_ref()) {
+            Some(held) if held.is_open(claim.id, &claim.author) => Look::Mine,
+            Some(held) => Look::Held(held.clone()),
+            None if made < self.floor => Look::Refused(Refusal::Expired),
+            None if made < self.forgotten => Look::Refused(Refusal::Forgotten),
+            None if slot.is_some_and(|slot| slot.freed.len() >= FREED) => {
+                Look::Refused(Refusal::Closed)
+            }
+            None => Look::Free,
+        }
+    }
+
+    /// Says whether `settle` is on record.
+    #[must_use]
+    pub fn recorded(&self, settle: &Settle) -> bool {
+        let Some(slot) = self.keys.get(&settle.key) else {
+            return false;
+        };
+        let held = slot.held.as_ref().filter(|held| held.claim == settle.claim);
+        match &settle.ending {
+            Ending::NotRun => {
+                slot.has_freed(settle.claim, &settle.author)
+                    || (slot.freed.len() >= FREED && held.is_none())
+            }
+            Ending::Unknown => held.is_some_and(|held| held.stage == Stage::Unknown),
+            Ending::Done { .. } => {
+                held.is_some_and(|held| matches!(held.stage, Stage::Done { .. }))
+            }
+        }
+    }
+
+    fn slot_mut(&mut self, key: &ClaimKey, made: WallMillis) -> &mut Slot {
+        self.expiry.entry(made).or_default().insert(key.clone());
+        self.keys.entry(key.clone()).or_default()
+    }
+
+    fn claim(&mut self, at: At, claim: Claim) -> Event {
+        if let Err(refusal) = self.check(&claim.key, self.time) {
+            return Event::Refused(refusal);
+        }
+        match self.look(&claim) {
+            Look::Mine => Event::Granted,
+            Look::Held(_) => Event::Taken,
+            Look::Refused(refusal) => Event::Refused(refusal),
+            Look::Free => {
+                let Some(made) = key_time(&claim.key.key) else {
+                    return Event::Refused(Refusal::Untimed);
+                };
+                self.slot_mut(&claim.key, made).held = Some(Standing {
+                    claim: claim.id,
+                    author: claim.author,
+                    print: claim.print,
+                    offset: at.offset,
+                    stage: Stage::InFlight,
+                });
+                Event::Granted
+            }
+        }
+    }
+
+    fn settle(&mut self, settle: Settle) -> Event {
+        if let Err(refusal) = self.check(&settle.key, self.time) {
+            return Event::Refused(refusal);
+        }
+        let bound = self.options.answer;
+        let Some(made) = key_time(&settle.key.key) else {
+            return Event::Refused(Refusal::Untimed);
+        };
+        let held = self
+            .keys
+            .get(&settle.key)
+            .and_then(|slot| slot.held.as_ref());
+        let held = held.filter(|held| held.claim == settle.claim);
+        match (
+            settle.ending,
+            held.map(|held| (&held.stage, held.author == settle.author)),
+        ) {
+            // The claim has not landed, or was freed before: a later copy has no effect.
+            (Ending::NotRun, None) => self.free(&settle.key, made, (settle.claim, settle.author)),
+            (Ending::NotRun, Some((Stage::InFlight, true))) => {
+                self.slot_mut(&settle.key, made).held = None;
+                self.free(&settle.key, made, (settle.claim, settle.author))
+            }
+            (Ending::Unknown, Some((Stage::InFlight, true))) => {
+                self.set(&settle.key, Stage::Unknown)
+            }
+            // Whoever has the endpoint's answer may record it: it settles the question.
+            (Ending::Done { mut answer }, Some((Stage::InFlight | Stage::Unknown, _))) => {
+                if let Kept::Whole(body) = &answer.body
+                    && body.len() > bound
+                {
+                    answer.body = digested(body);
+                }
+                self.set(&settle.key, Stage::Done { answer })
+            }
+            (_, Some((Stage::InFlight, false))) => Event::Refused(Refusal::NotAuthor),
+            _ => Event::Refused(Refusal::Superseded),
+        }
+    }
+
+    fn set(&mut self, key: &ClaimKey, stage: Stage) -> Event {
+        if let Some(held) = self.keys.get_mut(key).and_then(|slot| slot.held.as_mut()) {
+            held.stage = stage;
+        }
+        Event::Settled
+    }
+
+    /// Beyond the bound the key itself is closed, which no claim can pass.
+    fn free(&mut self, key: &ClaimKey, made: WallMillis, freed: (RecordId, Author)) -> Event {
+        let slot = self.slot_mut(key, made);
+        if slot.freed.len() < FREED {
+            slot.freed.insert(freed);
+        }
+        Event::Settled
+    }
+
+    fn carry(&mut self, at: At, keys: Vec<Carried>) -> Event {
+        let mut count = 0;
+        for Carried { key, slot } in keys {
+            let Some(made) = key_time(&key.key).filter(|made| *made >= self.floor) else {
+                continue;
+            };
+            let here = self.slot_mut(&key, made);
+            here.freed.extend(slot.freed);
+            let open = |held: &Standing| held.stage != Stage::Unknown;
+            match (&mut here.held, slot.held) {
+                (here, Some(mut held)) if here.is_none() => {
+                    held.offset = at.offset;
+                    *here = Some(held);
+                }
+                (Some(here), Some(held))
+                    if here.claim == held.claim
+                        && open(&held)
+                        && !matches!(here.stage, Stage::Done { .. }) =>
+                {
+                    here.stage = held.stage;
+                }
+                _ => {}
+            }
+            count += 1;
+        }
+        Event::Carried(count)
+    }
+}
+
+impl State for Claims {
+    type Record = Record;
+    type Event = Event;
+
+    fn advance(&mut self, at: At) {
+        self.time = self.time.max(at.wall);
+        let floor = WallMillis(self.time.0.saturating_sub(self.options.window)).plus(1);
+        self.floor = self.floor.max(floor);
+        let kept = self.expiry.split_off(&self.floor);
+        for key in std::mem::replace(&mut self.expiry, kept)
+            .into_values()
+            .flatten()
+        {
+            self.keys.remove(&key);
+        }
+    }
+
+    fn apply(&mut self, at: At, _: &Author, record: Record) -> Event {
+        match record {
+            Record::Claim(claim) => self.claim(at, claim),
+            Record::Settle(settle) => self.settle(settle),
+            Record::Carry { keys } => self.carry(at, keys),
+        }
+    }
+
+    fn forget(&mut self, at: At) {
+        self.forgotten = self.forgotten.max(at.wall.plus(self.options.ahead));
+    }
+}
--- /dev/null
+++ b/crates/cumin-state/src/config.rs
@@ -0,0 +1,507 @@
+//! Document revisions.
+//!
+//! A change names its base; the first change in log order on the present revision wins and
+//! becomes the next revision. Accepted means read back as the winner. Documents are opaque
+//! text here, known by their digest.
+
+use std::collections::VecDeque;
+
+use cumin_types::{Digest, LogOffset, RecordId, Revision, WallMillis};
+use derive_more::Display;
+use ed25519_dalek::SigningKey;
+use serde::{Deserialize, Serialize};
+
+use crate::batch::Author;
+use crate::fleet::{self, Finish, Found, Seal, Statement, Terms};
+use crate::fold::{At, State};
+
+/// Revisions whose metadata is kept.
+pub const HISTORY: usize = 64;
+/// Revisions whose text is kept, for rollback and for telling differences.
+pub const TEXTS: usize = 8;
+
+/// How a document came to be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "way")]
+pub enum Way {
+    /// Written for this environment.
+    Apply,
+    /// The text of an earlier revision again.
+    Rollback {
+        /// That revision.
+        to: Revision,
+    },
+    /// Tried in the trial environment.
+    Promote {
+        /// Digest of what was tried, before this environment's overrides.
+        tried: Digest,
+    },
+    /// Not tried.
+    Forced {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// A change of the document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Names the change.
+    pub id: RecordId,
+    /// The revision it was made from.
+    pub base: Revision,
+    /// Digest of the text.
+    pub digest: Digest,
+    /// The whole document.
+    pub text: String,
+    /// Who made it.
+    pub by: String,
+    /// Keys that differ from the base.
+    pub keys: Vec<String>,
+    /// How it came to be.
+    #[serde(flatten)]
+    pub way: Way,
+    /// By the operator of the present term, see [`Change::sign`].
+    pub seal: Option<Seal>,
+}
+
+const PURPOSE: &str = "document";
+
+impl Change {
+    /// An unsigned change.
+    #[must_use]
+    pub fn new(id: RecordId, base: Revision, text: String, by: &str, way: Way) -> Self {
+        let digest = Digest::of(text.as_bytes());
+        Self {
+            id,
+            base,
+            digest,
+            text,
+            by: by.into(),
+            keys: Vec::new(),
+            way,
+            seal: None,
+        }
+    }
+
+    fn content(&self) -> impl Serialize + '_ {
+        (self.id, self.base, self.digest, &self.by, &self.way)
+    }
+
+    /// Signs as the operator of `term`.
+    #[must_use]
+    pub fn sign(mut self, environment: &str, term: u64, key: &SigningKey) -> Self {
+        let seal = fleet::seal(key, PURPOSE, environment, &(term, self.content()));
+        self.seal = Some(seal);
+        self
+    }
+}
+
+/// What the `config` stream's batches carry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Record {
+    /// A change of the document.
+    Change(Change),
+    /// The trial environment ran this digest.
+    Tried {
+        /// Digest of the document.
+        digest: Digest,
+        /// Who says so.
+        by: String,
+        /// By the operator of the present term.
+        seal: Option<Seal>,
+    },
+    /// Begins the first term.
+    Found(Found),
+    /// Ends a term; only the next operator's changes count from here on.
+    Finish(Finish),
+    /// A revision carried over from another log.
+    Carry {
+        /// Its number there.
+        revision: Revision,
+        /// The change that made it.
+        change: Change,
+        /// Who appended it there.
+        author: Author,
+    },
+}
+
+/// One accepted revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its number.
+    pub revision: Revision,
+    /// The change that made it.
+    pub id: RecordId,
+    /// Digest of the text.
+    pub digest: Digest,
+    /// Who made it.
+    pub by: String,
+    /// Who appended it.
+    pub author: Author,
+    /// Keys that differ from the revision before.
+    pub keys: Vec<String>,
+    /// How it came to be.
+    pub way: Way,
+    /// Where the log put it.
+    pub offset: LogOffset,
+    /// The log's time.
+    pub wall: WallMillis,
+    /// Operator's term.
+    pub term: u64,
+}
+
+/// Why a change has no effect.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// Another change on the same base came first.
+    #[display("the base is revision {base}, the present revision was {present}")]
+    Conflict {
+        /// The change's base.
+        base: Revision,
+        /// The present revision.
+        present: Revision,
+    },
+    /// The digest is not that of the text.
+    #[display("the digest does not match the text")]
+    Digest,
+    /// Not signed by the present operator.
+    #[display("it is not signed by the operator of term {term}")]
+    Operator {
+        /// The present term.
+        term: u64,
+    },
+    /// Not tried in the trial environment.
+    #[display("the document was not tried in the trial environment")]
+    Untried,
+    /// Forced without a reason.
+    #[display("a forced change needs a reason")]
+    NoReason,
+    /// The rollback's target is not kept, or has another text.
+    #[display("revision {to} is not in the history with this text")]
+    NoTarget {
+        /// The target.
+        to: Revision,
+    },
+    /// Records of this stream were lost.
+    #[display("records of the stream were lost; import an export first")]
+    Incomplete,
+}
+
+/// What a record did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The change is the present revision.
+    Accepted(Revision),
+    /// The change was seen before.
+    Repeated,
+    /// A digest is known as tried.
+    Tried,
+    /// About the operator's term.
+    Term(fleet::Event),
+    /// No effect.
+    Refused(Refusal),
+}
+
+/// A change lost to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Conflict {
+    /// The winning revision.
+    pub winner: Entry,
+    /// Keys in which winner and loser differ.
+    pub keys: Vec<String>,
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is this revision.
+    Accepted(Revision),
+    /// Another on the same base came first.
+    Conflict(Box<Conflict>),
+    /// It has no effect.
+    Refused(Refusal),
+    /// It is not in the folded part of the stream, or too long ago.
+    Unseen,
+}
+
+/// State of the `config` stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Only tried documents are accepted.
+    tested: bool,
+    terms: Terms,
+    present: Revision,
+    history: VecDeque<Entry>,
+    texts: VecDeque<(Revision, String)>,
+    tried: VecDeque<Digest>,
+    refused: VecDeque<(RecordId, Refusal)>,
+    incomplete: bool,
+}
+
+fn keep<T>(list: &mut VecDeque<T>, item: T, bound: usize) {
+    if list.len() == bound {
+        list.pop_front();
+    }
+    list.push_back(item);
+}
+
+impl Config {
+    /// No revision. `tested` when only tried documents are accepted, as in production.
+    #[must_use]
+    pub fn new(tested: bool) -> Self {
+        Self {
+            tested,
+            ..Self::default()
+        }
+    }
+
+    /// The present revision, zero before the first.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.present
+    }
+
+    /// Digest and text of the present revision.
+    #[must_use]
+    pub fn document(&self) -> Option<(Digest, &str)> {
+        let entry = self.history.back()?;
+        Some((entry.digest, self.text(entry.revision)?))
+    }
+
+    /// Text of a recent revision.
+    #[must_use]
+    pub fn text(&self, revision: Revision) -> Option<&str> {
+        self.texts
+            .iter()
+            .find(|(kept, _)| *kept == revision)
+            .map(|(_, text)| text.as_str())
+    }
+
+    /// Accepted revisions, oldest first.
+    #[must_use]
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &Entry> + '_ {
+        self.history.iter()
+    }
+
+    /// The operator's term.
+    #[must_use]
+    pub const fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    /// True when records were lost and no export was imported since.
+    #[must_use]
+    pub const fn incomplete(&self) -> bool {
+        self.incomplete
+    }
+
+    /// Says what became of the change `id` with `text`; `diff` names the keys in which two
+    /// documents differ.
+    pub fn verdict(
+        &self,
+        id: RecordId,
+        text: &str,
+        diff: impl FnOnce(&str, &str) -> Vec<String>,
+    ) -> Verdict {
+        if let Some(entry) = self.history.iter().find(|entry| entry.id == id) {
+            return Verdict::Accepted(entry.revision);
+        }
+        let Some((_, refusal)) = self.refused.iter().find(|(refused, _)| *refused == id) else {
+            return Verdict::Unseen;
+        };
+        if let Refusal::Conflict { base, .. } = refusal
+            && let Some(winner) = self
+                .history
+                .iter()
+                .find(|entry| entry.revision == base.plus(1))
+        {
+            let keys = self
+                .text(winner.revision)
+                .map_or_else(|| winner.keys.clone(), |won| diff(won, text));
+            return Verdict::Conflict(Box::new(Conflict {
+                winner: winner.clone(),
+                keys,
+            }));
+        }
+        Verdict::Refused(refusal.clone())
+    }
+
+    /// Every kept revision with its text, to carry it to another log.
+    #[must_use]
+    pub fn export(&self) -> Vec<Record> {
+        let carried = |entry: &Entry| {
+            Some(Record::Carry {
+                revision: entry.revision,
+                author: entry.author.clone(),
+                change: Change {
+                    id: entry.id,
+                    base: Revision(entry.revision.0.saturating_sub(1)),
+                    digest: entry.digest,
+                    text: self.text(entry.revision)?.into(),
+                    by: entry.by.clone(),
+                    keys: entry.keys.clone(),
+                    way: entry.way.clone(),
+                    seal: None,
+                },
+            })
+        };
+        self.history.iter().filter_map(carried).collect()
+    }
+
+    fn check(&self, change: &Change) -> Result<(), Refusal> {
+        if self.incomplete {
+            return Err(Refusal::Incomplete);
+        }
+        if !self.terms.signed(change.seal, PURPOSE, &change.content()) {
+            return Err(Refusal::Operator {
+                term: self.terms.term,
+            });
+        }
+        if change.base != self.present {
+            return Err(Refusal::Conflict {
+                base: change.base,
+                present: self.present,
+            });
+        }
+        if change.digest != Digest::of(change.text.as_bytes()) {
+            return Err(Refusal::Digest);
+        }
+        match &change.way {
+            Way::Apply if self.tested && !self.tried.contains(&change.digest) => {
+                Err(Refusal::Untried)
+            }
+            Way::Promote { tried } if !self.tried.contains(tried) => Err(Refusal::Untried),
+            Way::Forced { reason } if reason.trim().is_empty() => Err(Refusal::NoReason),
+            Way::Rollback { to } => self
+                .history
+                .iter()
+                .any(|entry| entry.revision == *to && entry.digest == change.digest)
+                .then_some(())
+                .ok_or(Refusal::NoTarget { to: *to }),
+            _ => Ok(()),
+        }
+    }
+
+    fn change(&mut self, at: At, author: &Author, change: Change) -> Event {
+        let id = change.id;
+        let seen = self.history.iter().any(|entry| entry.id == id)
+            || self.refused.iter().any(|(refused, _)| *refused == id);
+        if seen {
+            return Event::Repeated;
+        }
+        if let Err(refusal) = self.check(&change) {
+            keep(&mut self.refused, (id, refusal.clone()), HISTORY);
+            return Event::Refused(refusal);
+        }
+        let revision = self.present.plus(1);
+        self.accept(at, author.clone(), revision, change);
+        Event::Accepted(revision)
+    }
+
+    fn accept(&mut self, at: At, author: Author, revision: Revision, change: Change) {
+        self.present = revision;
+        let Change {
+            id,
+            digest,
+            by,
+            keys,
+            way,
+            text,
+            ..
+        } = change;
+        let term = self.terms.term;
+        let (offset, wall) = (at.offset, at.wall);
+        let entry = Entry {
+            revision,
+            id,
+            digest,
+            by,
+            author,
+            keys,
+            way,
+            offset,
+            wall,
+            term,
+        };
+        keep(&mut self.history, entry, HISTORY);
+        keep(&mut self.texts, (revision, text), TEXTS);
+    }
+}
+
+impl State for Config {
+    type Record = Record;
+    type Event = Event;
+
+    fn apply(&mut self, at: At, author: &Author, record: Record) -> Event {
+        match record {
+            Record::Change(change) => self.change(at, author, change),
+            Record::Tried { digest, by, seal } => {
+                if !self.terms.signed(seal, "tried", &(digest, &by)) {
+                    return Event::Refused(Refusal::Operator {
+                        term: self.terms.term,
+                    });
+                }
+                if !self.tried.contains(&digest) {
+                    keep(&mut self.tried, digest, HISTORY);
+                }
+                Event::Tried
+            }
+            Record::Found(found) => Event::Term(self.terms.apply(Statement::Found(found))),
+            Record::Finish(finish) => Event::Term(self.terms.apply(Statement::Finish(finish))),
+            Record::Carry {
+                revision,
+                change,
+                author,
+            } => {
+                if revision <= self.present {
+                    return Event::Repeated;
+                }
+                if change.digest != Digest::of(change.text.as_bytes()) {
+                    return Event::Refused(Refusal::Digest);
+                }
+                self.incomplete = false;
+                self.accept(at, author, revision, change);
+                Event::Accepted(revision)
+            }
+        }
+    }
+
+    fn forget(&mut self, _: At) {
+        self.incomplete = true;
+    }
+}
+
+/// The revision that a node runs; it never falls.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Running {
+    revision: Revision,
+    digest: Option<Digest>,
+}
+
+impl Running {
+    /// The revision and its digest.
+    #[must_use]
+    pub const fn present(&self) -> (Revision, Option<Digest>) {
+        (self.revision, self.digest)
+    }
+
+    /// Says whether to run `revision`, learned from the log or from a peer. A text that does
+    /// not have the digest is never taken.
+    pub fn offer(&mut self, revision: Revision, digest: Digest, text: &str) -> bool {
+        if revision <= self.revision || Digest::of(text.as_bytes()) != digest {
+            return false;
+        }
+        self.revision = revision;
+        self.digest = Some(digest);
+        true
+    }
+
+    /// True when a peer's higher revision should be fetched.
+    #[must_use]
+    pub fn behind(&self, peer: Revision) -> bool {
+        peer > self.revision
+    }
+}
