--- a/crates/cumin-state/src/claim.rs
+++ b/crates/cumin-state/src/claim.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cumin_types::{ClaimKey, Digest, Fingerprint, LogOffset, RecordId, WallMillis};
+use cumin_types::{ClaimKey, Fingerprint, LogOffset, RecordId, WallMillis};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
@@ -16,6 +16,11 @@
 use crate::fold::{At, State};
 use crate::pairs;
 
+mod record;
+
+use record::digested;
+pub use record::{Answer, Carried, Claim, Ending, Kept, Record, Settle};
+
 /// Freed claims that a key may have; it is closed beyond them.
 pub const FREED: usize = 64;
 
@@ -40,122 +45,6 @@
     }
 }
 
-/// The body of a recorded answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Kept {
-    /// The whole body.
-    Whole(String),
-    /// The body was longer than the bound.
-    Digest {
-        /// Digest of the body.
-        digest: Digest,
-        /// Its length in bytes.
-        bytes: u64,
-    },
-}
-
-/// An endpoint's answer as it is recorded.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// HTTP status.
-    pub status: u16,
-    /// Media type.
-    pub content: Option<String>,
-    /// Body as text, in the shell's encoding.
-    pub body: Kept,
-}
-
-impl Answer {
-    /// Keeps `body` whole when it has at most `bound` bytes.
-    #[must_use]
-    pub fn new(status: u16, content: Option<String>, body: String, bound: usize) -> Self {
-        let body = if body.len() <= bound {
-            Kept::Whole(body)
-        } else {
-            digested(&body)
-        };
-        Self {
-            status,
-            content,
-            body,
-        }
-    }
-}
-
-fn digested(body: &str) -> Kept {
-    Kept::Digest {
-        digest: Digest::of(body.as_bytes()),
-        bytes: body.len() as u64,
-    }
-}
-
-/// Asks for a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
-    /// Same for each submission of one claim.
-    pub id: RecordId,
-    /// What is claimed.
-    pub key: ClaimKey,
-    /// The only one who may dispatch the call.
-    pub author: Author,
-    /// What the call carries, to detect another call under the same key.
-    pub print: Fingerprint,
-}
-
-/// How a claimed call ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "ending")]
-pub enum Ending {
-    /// The endpoint answered.
-    Done {
-        /// Its answer.
-        answer: Answer,
-    },
-    /// It was not dispatched, or the endpoint said that it did not start.
-    NotRun,
-    /// It may have taken effect.
-    Unknown,
-}
-
-/// Records how a claimed call ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Settle {
-    /// The claim.
-    pub claim: RecordId,
-    /// Its key.
-    pub key: ClaimKey,
-    /// Who says so.
-    pub author: Author,
-    /// How it ended.
-    #[serde(flatten)]
-    pub ending: Ending,
-}
-
-/// A key's state carried over from another log.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Carried {
-    /// The key.
-    pub key: ClaimKey,
-    /// Its state there.
-    pub slot: Slot,
-}
-
-/// What the stream's batches carry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind")]
-pub enum Record {
-    /// Asks for a key.
-    Claim(Claim),
-    /// Says how a claimed call ended.
-    Settle(Settle),
-    /// Carries keys over from another log.
-    Carry {
-        /// The keys.
-        keys: Vec<Carried>,
-    },
-}
-
 /// The claim that holds a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
--- a/crates/cumin-state/src/config.rs
+++ b/crates/cumin-state/src/config.rs
@@ -8,125 +8,22 @@
 
 use cumin_types::{Digest, LogOffset, RecordId, Revision, WallMillis};
 use derive_more::Display;
-use ed25519_dalek::SigningKey;
 use serde::{Deserialize, Serialize};
 
 use crate::batch::Author;
-use crate::fleet::{self, Finish, Found, Seal, Statement, Terms};
+use crate::fleet::{self, Seal, Statement, Terms};
 use crate::fold::{At, State};
 
+mod record;
+
+use record::{CARRY, PURPOSE, TRIED};
+pub use record::{Change, Record, Way};
+
 /// Revisions whose metadata is kept.
 pub const HISTORY: usize = 64;
 /// Revisions whose text is kept, for rollback and for telling differences.
 pub const TEXTS: usize = 8;
 
-/// How a document came to be.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "way")]
-pub enum Way {
-    /// Written for this environment.
-    Apply,
-    /// The text of an earlier revision again.
-    Rollback {
-        /// That revision.
-        to: Revision,
-    },
-    /// Tried in the trial environment.
-    Promote {
-        /// Digest of what was tried, before this environment's overrides.
-        tried: Digest,
-    },
-    /// Not tried.
-    Forced {
-        /// Why.
-        reason: String,
-    },
-}
-
-/// A change of the document.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Change {
-    /// Names the change.
-    pub id: RecordId,
-    /// The revision it was made from.
-    pub base: Revision,
-    /// Digest of the text.
-    pub digest: Digest,
-    /// The whole document.
-    pub text: String,
-    /// Who made it.
-    pub by: String,
-    /// Keys that differ from the base.
-    pub keys: Vec<String>,
-    /// How it came to be.
-    #[serde(flatten)]
-    pub way: Way,
-    /// By the operator of the present term, see [`Change::sign`].
-    pub seal: Option<Seal>,
-}
-
-const PURPOSE: &str = "document";
-
-impl Change {
-    /// An unsigned change.
-    #[must_use]
-    pub fn new(id: RecordId, base: Revision, text: String, by: &str, way: Way) -> Self {
-        let digest = Digest::of(text.as_bytes());
-        Self {
-            id,
-            base,
-            digest,
-            text,
-            by: by.into(),
-            keys: Vec::new(),
-            way,
-            seal: None,
-        }
-    }
-
-    fn content(&self) -> impl Serialize + '_ {
-        (self.id, self.base, self.digest, &self.by, &self.way)
-    }
-
-    /// Signs as the operator of `term`.
-    #[must_use]
-    pub fn sign(mut self, environment: &str, term: u64, key: &SigningKey) -> Self {
-        let seal = fleet::seal(key, PURPOSE, environment, &(term, self.content()));
-        self.seal = Some(seal);
-        self
-    }
-}
-
-/// What the `config` stream's batches carry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind")]
-pub enum Record {
-    /// A change of the document.
-    Change(Change),
-    /// The trial environment ran this digest.
-    Tried {
-        /// Digest of the document.
-        digest: Digest,
-        /// Who says so.
-        by: String,
-        /// By the operator of the present term.
-        seal: Option<Seal>,
-    },
-    /// Begins the first term.
-    Found(Found),
-    /// Ends a term; only the next operator's changes count from here on.
-    Finish(Finish),
-    /// A revision carried over from another log.
-    Carry {
-        /// Its number there.
-        revision: Revision,
-        /// The change that made it.
-        change: Change,
-        /// Who appended it there.
-        author: Author,
-    },
-}
-
 /// One accepted revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -335,6 +232,7 @@
         let carried = |entry: &Entry| {
             Some(Record::Carry {
                 revision: entry.revision,
+                seal: None,
                 author: entry.author.clone(),
                 change: Change {
                     id: entry.id,
@@ -401,6 +299,30 @@
         Event::Accepted(revision)
     }
 
+    fn carry(
+        &mut self,
+        at: At,
+        revision: Revision,
+        change: Change,
+        author: Author,
+        seal: Option<Seal>,
+    ) -> Event {
+        if !self.terms.signed(seal, CARRY, &(revision, change.digest)) {
+            return Event::Refused(Refusal::Operator {
+                term: self.terms.term,
+            });
+        }
+        if revision <= self.present {
+            return Event::Repeated;
+        }
+        if change.digest != Digest::of(change.text.as_bytes()) {
+            return Event::Refused(Refusal::Digest);
+        }
+        self.incomplete = false;
+        self.accept(at, author, revision, change);
+        Event::Accepted(revision)
+    }
+
     fn accept(&mut self, at: At, author: Author, revision: Revision, change: Change) {
         self.present = revision;
         let Change {
@@ -439,7 +361,7 @@
         match record {
             Record::Change(change) => self.change(at, author, change),
             Record::Tried { digest, by, seal } => {
-                if !self.terms.signed(seal, "tried", &(digest, &by)) {
+                if !self.terms.signed(seal, TRIED, &(digest, &by)) {
                     return Event::Refused(Refusal::Operator {
                         term: self.terms.term,
                     });
@@ -455,17 +377,8 @@
                 revision,
                 change,
                 author,
-            } => {
-                if revision <= self.present {
-                    return Event::Repeated;
-                }
-                if change.digest != Digest::of(change.text.as_bytes()) {
-                    return Event::Refused(Refusal::Digest);
-                }
-                self.incomplete = false;
-                self.accept(at, author, revision, change);
-                Event::Accepted(revision)
-            }
+                seal,
+            } => self.carry(at, revision, change, author, seal),
         }
     }
 
--- a/crates/cumin-state/src/lib.rs
+++ b/crates/cumin-state/src/lib.rs
@@ -16,4 +16,5 @@
 mod pairs;
 pub mod recorder;
 pub mod snapshot;
+pub mod transfer;
 pub mod writer;
