Add the admission decisions of a node

The crate now holds them: shares of global limits from numbered, confirmed reports, token buckets, and one queue for each service with start-time fair queueing and shedding from batch upwards.

The public signatures are meant to stay.

--- /dev/null
+++ b/crates/cumin-admit/src/admission.rs
@@ -0,0 +1,551 @@
+//! The admission state of one node.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use cumin_types::{
+    Millis, NodeName, Organisation, Priority, RequestId, Service, TokenCount, WallMillis,
+};
+
+use crate::queue::{Entry, Guard, Key, Lane};
+use crate::quota::Bucket;
+use crate::{
+    Amounts, Ask, Capacity, Decision, Demand, DropReason, Dropped, Grant, Quota, Reason, Refusal,
+    Resource, ShareOptions, Shares, Ticket, Wait,
+};
+
+/// Settings of [`Admission`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// This node.
+    pub node: NodeName,
+    /// When this process started; reports are numbered from it, so that a restarted node's
+    /// reports supersede those of its previous life.
+    pub started: WallMillis,
+    /// Requests in a burst, as time at the granted rate.
+    pub burst: Millis,
+    /// Tokens in a burst, as time at the granted rate.
+    pub token_burst: Millis,
+    /// Most requests that wait for one service.
+    pub queue: usize,
+    /// A waiting request of a lower priority is starved after this time.
+    pub patience: Millis,
+    /// While a request is starved, one of every `guard + 1` served is a starved one.
+    pub guard: u32,
+    /// Time constant of the demand that is reported.
+    pub smoothing: Millis,
+    /// How limits are divided between nodes.
+    pub shares: ShareOptions,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            node: NodeName::from("node"),
+            started: WallMillis(0),
+            burst: Millis(2000),
+            token_burst: Millis(10_000),
+            queue: 1024,
+            patience: Millis(5000),
+            guard: 8,
+            smoothing: Millis(2000),
+            shares: ShareOptions::default(),
+        }
+    }
+}
+
+/// State of one organisation on this node.
+#[derive(Debug)]
+struct Org {
+    /// `None` once the document no longer names it.
+    quota: Option<Quota>,
+    grant: Grant,
+    requests: Bucket,
+    tokens: Bucket,
+    /// Requests queued or running.
+    active: u32,
+    /// Since the last report: requests and tokens asked for, most requests at once.
+    seen: Amounts,
+    /// Smoothed demand.
+    demand: Amounts,
+}
+
+/// Admission state of one node.
+#[derive(Debug)]
+pub struct Admission {
+    options: Options,
+    shares: Shares,
+    orgs: BTreeMap<Organisation, Org>,
+    lanes: BTreeMap<Service, Lane>,
+    queued: HashMap<RequestId, (Service, Priority, Key, Millis)>,
+    running: HashSet<RequestId>,
+    deadlines: BTreeSet<(Millis, RequestId)>,
+    dropped: Vec<Dropped>,
+    /// The service served last.
+    turn: Option<Service>,
+    reported: Millis,
+}
+
+impl Admission {
+    /// Makes an admission state that knows no organisation. It acts as the only node until
+    /// `rebalance` is called, which a node does before it becomes ready.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        let shares = Shares::new(
+            options.shares.clone(),
+            options.node.clone(),
+            options.started.0,
+        );
+        Self {
+            options,
+            shares,
+            orgs: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            queued: HashMap::new(),
+            running: HashSet::new(),
+            deadlines: BTreeSet::new(),
+            dropped: Vec::new(),
+            turn: None,
+            reported: Millis(0),
+        }
+    }
+
+    /// Takes the quotas of a new document. Requests in flight or queued stay; organisations
+    /// that are no longer named get no new ones.
+    pub fn configure(&mut self, quotas: &BTreeMap<Organisation, Quota>, now: Millis) {
+        for (name, org) in &mut self.orgs {
+            org.quota = quotas.get(name).cloned();
+        }
+        for (name, quota) in quotas {
+            self.orgs.entry(name.clone()).or_insert_with(|| Org {
+                quota: Some(quota.clone()),
+                grant: Grant::default(),
+                requests: Bucket::new(0.0, f64::INFINITY, now),
+                tokens: Bucket::new(0.0, f64::INFINITY, now),
+                active: 0,
+                seen: Amounts::default(),
+                demand: Amounts::default(),
+            });
+        }
+        self.orgs
+            .retain(|_, org| org.quota.is_some() || org.active > 0);
+        self.grant(now);
+    }
+
+    /// Sets what this node may use of a service.
+    pub fn capacity(&mut self, service: &Service, capacity: Capacity, now: Millis) {
+        self.lane(service).capacity = capacity;
+        self.shed(service, now);
+    }
+
+    /// Decides on a request. Call `expire` afterwards for requests shed in its favour.
+    pub fn ask(&mut self, ask: &Ask, now: Millis) -> Decision {
+        let left = Millis(ask.deadline.since(now));
+        if self.queued.contains_key(&ask.id) || self.running.contains(&ask.id) {
+            return refuse(ask, Reason::Duplicate, ask.estimate, left, ask.estimate);
+        }
+        let Some(org) = self.orgs.get_mut(&ask.org) else {
+            return refuse(ask, Reason::Unknown, Millis(0), left, ask.estimate);
+        };
+        let Some(quota) = &org.quota else {
+            return refuse(ask, Reason::Unknown, Millis(0), left, ask.estimate);
+        };
+        let weight = quota.weight;
+        org.count(ask);
+        if ask.estimate > left || left == Millis(0) {
+            return refuse(ask, Reason::Deadline, Millis(0), left, ask.estimate);
+        }
+        if let Some((resource, wait)) = org.short(ask, now) {
+            return refuse(ask, Reason::Quota(resource), wait, left, ask.estimate);
+        }
+        let limit = self.options.queue;
+        let lane = self
+            .lanes
+            .entry(ask.service.clone())
+            .or_insert_with(|| Lane::new(ask.service.clone()));
+        if lane.free() && lane.queued() == 0 {
+            lane.idle();
+            lane.running += 1;
+            self.running.insert(ask.id);
+            org.take(ask, now);
+            return Decision::Run(ticket(ask, Millis(0)));
+        }
+        let ahead = lane.ahead(&ask.org, ask.priority);
+        let wait = lane.time(ahead.tokens);
+        let end = wait.plus(ask.estimate.0);
+        if end > left {
+            return refuse(ask, Reason::Deadline, Millis(end.since(left)), left, end);
+        }
+        if lane.queued() >= limit {
+            let Some((priority, key)) = lane.last_after(ask.priority, ahead.key) else {
+                return refuse(ask, Reason::Full, wait.max(Millis(1)), left, end);
+            };
+            self.drop_entry(&ask.service, priority, key, DropReason::Full, now);
+        }
+        if let Some(org) = self.orgs.get_mut(&ask.org) {
+            org.take(ask, now);
+        }
+        let key = self.lane(&ask.service).push(ask.clone(), weight, now);
+        self.queued.insert(
+            ask.id,
+            (ask.service.clone(), ask.priority, key, ask.deadline),
+        );
+        self.deadlines.insert((ask.deadline, ask.id));
+        self.shed(&ask.service, now);
+        Decision::Queue(Wait {
+            id: ask.id,
+            org: ask.org.clone(),
+            priority: ask.priority,
+            ahead: ahead.entries,
+            tokens: TokenCount(ahead.tokens),
+            wait,
+        })
+    }
+
+    /// Returns the next queued request that may run, if a service has a free slot. Services
+    /// take turns. Call it until it returns `None` after every `ask`, `finish`, `cancel`,
+    /// `expire` and `capacity`.
+    pub fn next(&mut self, now: Millis) -> Option<Ticket> {
+        let guard = Guard {
+            patience: self.options.patience,
+            every: self.options.guard,
+        };
+        let after = self.turn.take();
+        let mut order: Vec<Service> = self
+            .lanes
+            .values()
+            .filter(|lane| lane.free() && lane.queued() > 0)
+            .map(|lane| lane.service.clone())
+            .collect();
+        let split = order.partition_point(|name| Some(name) <= after.as_ref());
+        order.rotate_left(split);
+        for service in order {
+            while let Some(entry) = self.lane(&service).pop(guard, now) {
+                let Entry { ask, since } = entry;
+                self.queued.remove(&ask.id);
+                self.deadlines.remove(&(ask.deadline, ask.id));
+                if now.plus(ask.estimate.0) > ask.deadline {
+                    let late = if now >= ask.deadline {
+                        DropReason::Expired
+                    } else {
+                        DropReason::Late
+                    };
+                    self.give_back(Entry { ask, since }, late, now);
+                    continue;
+                }
+                self.lane(&service).running += 1;
+                self.running.insert(ask.id);
+                self.turn = Some(service);
+                return Some(ticket(&ask, Millis(now.since(since))));
+            }
+        }
+        self.turn = after;
+        None
+    }
+
+    /// Ends a running request that used `used` tokens; the quota is corrected by the
+    /// difference from the estimate.
+    pub fn finish(&mut self, ticket: Ticket, used: TokenCount, now: Millis) {
+        let Ticket {
+            id,
+            org,
+            service,
+            tokens,
+            ..
+        } = ticket;
+        if !self.running.remove(&id) {
+            return;
+        }
+        let lane = self.lane(&service);
+        lane.running = lane.running.saturating_sub(1);
+        if let Some(state) = self.orgs.get_mut(&org) {
+            state.give(tokens, used, now);
+        }
+        self.forget(&org);
+    }
+
+    /// Removes a queued request that its caller gave up; false when it is not queued.
+    pub fn cancel(&mut self, id: RequestId, now: Millis) -> bool {
+        let Some((service, priority, key, deadline)) = self.queued.remove(&id) else {
+            return false;
+        };
+        self.deadlines.remove(&(deadline, id));
+        let Some(entry) = self.lane(&service).remove(priority, key) else {
+            return false;
+        };
+        let Ask { org, tokens, .. } = entry.ask;
+        if let Some(state) = self.orgs.get_mut(&org) {
+            state.give(tokens, TokenCount(0), now);
+        }
+        self.forget(&org);
+        true
+    }
+
+    /// Returns the queued requests that were dropped since the last call: their deadline
+    /// passed or they were shed. None of them was run.
+    pub fn expire(&mut self, now: Millis) -> Vec<Dropped> {
+        while let Some((deadline, id)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            let (service, priority, key, _) = self.queued[&id].clone();
+            self.drop_entry(&service, priority, key, DropReason::Expired, now);
+        }
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// Returns when the next queued request expires.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Returns this node's report for the other nodes; each call makes a new one.
+    pub fn demand(&mut self, now: Millis) -> Demand {
+        #[expect(clippy::cast_precision_loss, reason = "2^53 ms is longer than any run")]
+        let passed = now.since(self.reported).max(1) as f64;
+        self.reported = now;
+        #[expect(clippy::cast_precision_loss, reason = "a time constant")]
+        let keep = (-passed / self.options.smoothing.0.max(1) as f64).exp();
+        for org in self.orgs.values_mut() {
+            org.smooth(passed, keep);
+        }
+        let wants = self
+            .orgs
+            .iter()
+            .filter_map(|(name, org)| Some((name, org.quota.as_ref()?, org.demand)));
+        self.shares.demand(wants)
+    }
+
+    /// Recomputes this node's shares from the last known reports of all nodes and the live
+    /// nodes, and returns them.
+    pub fn rebalance(
+        &mut self,
+        reports: &[(NodeName, Demand)],
+        live: &[NodeName],
+        now: Millis,
+    ) -> BTreeMap<Organisation, Grant> {
+        self.shares.rebalance(reports, live, now);
+        self.grant(now);
+        self.orgs
+            .iter()
+            .map(|(name, org)| (name.clone(), org.grant))
+            .collect()
+    }
+
+    /// Returns the requests that run and wait for a service.
+    #[must_use]
+    pub fn load(&self, service: &Service) -> (usize, usize) {
+        self.lanes
+            .get(service)
+            .map_or((0, 0), |lane| (lane.running, lane.queued()))
+    }
+
+    /// Returns the requests of an organisation that are queued or running.
+    #[must_use]
+    pub fn active(&self, org: &Organisation) -> u32 {
+        self.orgs.get(org).map_or(0, |org| org.active)
+    }
+
+    fn lane(&mut self, service: &Service) -> &mut Lane {
+        self.lanes
+            .entry(service.clone())
+            .or_insert_with(|| Lane::new(service.clone()))
+    }
+
+    fn grant(&mut self, now: Millis) {
+        for (name, org) in &mut self.orgs {
+            let Some(quota) = &org.quota else { continue };
+            let grant = self.shares.grant(name, quota);
+            org.set(grant, self.options.burst, self.options.token_burst, now);
+        }
+    }
+
+    fn shed(&mut self, service: &Service, now: Millis) {
+        for (priority, key) in self.lane(service).late(now) {
+            self.drop_entry(service, priority, key, DropReason::Late, now);
+        }
+    }
+
+    fn drop_entry(
+        &mut self,
+        service: &Service,
+        priority: Priority,
+        key: Key,
+        reason: DropReason,
+        now: Millis,
+    ) {
+        if let Some(entry) = self.lane(service).remove(priority, key) {
+            self.queued.remove(&entry.ask.id);
+            self.deadlines.remove(&(entry.ask.deadline, entry.ask.id));
+            self.give_back(entry, reason, now);
+        }
+    }
+
+    /// Records a queued request as dropped and returns what it took from the quotas.
+    fn give_back(&mut self, entry: Entry, reason: DropReason, now: Millis) {
+        let Entry { ask, since } = entry;
+        if let Some(state) = self.orgs.get_mut(&ask.org) {
+            state.give(ask.tokens, TokenCount(0), now);
+        }
+        self.forget(&ask.org);
+        let ahead = self.lane(&ask.service).ahead(&ask.org, ask.priority);
+        let retry_after = self.lane(&ask.service).time(ahead.tokens);
+        self.dropped.push(Dropped {
+            id: ask.id,
+            org: ask.org,
+            service: ask.service,
+            priority: ask.priority,
+            reason,
+            waited: Millis(now.since(since)),
+            retry_after,
+        });
+    }
+
+    /// Drops the state of an organisation that the document no longer names.
+    fn forget(&mut self, org: &Organisation) {
+        if self
+            .orgs
+            .get(org)
+            .is_some_and(|org| org.quota.is_none() && org.active == 0)
+        {
+            self.orgs.remove(org);
+        }
+    }
+}
+
+impl Org {
+    /// Counts a request that was asked for, run or not.
+    fn count(&mut self, ask: &Ask) {
+        self.seen.requests += 1.0;
+        self.seen.tokens += units(ask.tokens);
+        let at_once = f64::from(self.active) + 1.0;
+        self.seen.concurrent = self.seen.concurrent.max(at_once);
+    }
+
+    /// Returns the quota that does not allow the request, and when it may.
+    fn short(&mut self, ask: &Ask, now: Millis) -> Option<(Resource, Millis)> {
+        let at_once = self
+            .grant
+            .concurrent
+            .is_some_and(|share| f64::from(self.active) >= share.floor().max(1.0));
+        // A slot becomes free after a part of one request's duration.
+        let slot = Millis(ask.estimate.0 / u64::from(self.active.max(1))).max(Millis(1));
+        let waits = [
+            (Resource::Concurrent, if at_once { slot } else { Millis(0) }),
+            (
+                Resource::Requests,
+                self.grant
+                    .requests
+                    .map_or(Millis(0), |_| self.requests.wait(1.0, now)),
+            ),
+            (
+                Resource::Tokens,
+                self.grant
+                    .tokens
+                    .map_or(Millis(0), |_| self.tokens.wait(units(ask.tokens), now)),
+            ),
+        ];
+        waits
+            .into_iter()
+            .max_by_key(|(_, wait)| *wait)
+            .filter(|(_, wait)| *wait > Millis(0))
+    }
+
+    fn take(&mut self, ask: &Ask, now: Millis) {
+        self.active += 1;
+        if self.grant.requests.is_some() {
+            self.requests.take(1.0, now);
+        }
+        if self.grant.tokens.is_some() {
+            self.tokens.take(units(ask.tokens), now);
+        }
+    }
+
+    /// Ends one request and corrects its estimate.
+    fn give(&mut self, estimate: TokenCount, used: TokenCount, now: Millis) {
+        self.active = self.active.saturating_sub(1);
+        if self.grant.tokens.is_some() {
+            self.tokens.take(units(used) - units(estimate), now);
+        }
+    }
+
+    fn set(&mut self, grant: Grant, burst: Millis, token_burst: Millis, now: Millis) {
+        if let Some(rate) = grant.requests {
+            let depth = (rate * units(TokenCount(burst.0)) / 1000.0).max(1.0);
+            refit(
+                &mut self.requests,
+                self.grant.requests.is_some(),
+                rate,
+                depth,
+                now,
+            );
+        }
+        if let Some(minute) = grant.tokens {
+            let rate = minute / 60.0;
+            let depth = (rate * units(TokenCount(token_burst.0)) / 1000.0).max(1.0);
+            refit(
+                &mut self.tokens,
+                self.grant.tokens.is_some(),
+                rate,
+                depth,
+                now,
+            );
+        }
+        self.grant = grant;
+    }
+
+    fn smooth(&mut self, passed: f64, keep: f64) {
+        let mix = |old: f64, new: f64| old * keep + new * (1.0 - keep);
+        let seen = std::mem::take(&mut self.seen);
+        self.demand = Amounts {
+            requests: mix(self.demand.requests, seen.requests * 1000.0 / passed),
+            concurrent: mix(
+                self.demand.concurrent,
+                seen.concurrent.max(f64::from(self.active)),
+            ),
+            tokens: mix(self.demand.tokens, seen.tokens * 60_000.0 / passed),
+        };
+    }
+}
+
+/// Changes a bucket, or makes a full one where there was no limit.
+fn refit(bucket: &mut Bucket, limited: bool, rate: f64, depth: f64, now: Millis) {
+    if limited {
+        bucket.set(rate, depth, now);
+    } else {
+        *bucket = Bucket::new(rate, depth, now);
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^53")]
+fn units(count: TokenCount) -> f64 {
+    count.0 as f64
+}
+
+fn ticket(ask: &Ask, waited: Millis) -> Ticket {
+    Ticket {
+        id: ask.id,
+        org: ask.org.clone(),
+        service: ask.service.clone(),
+        priority: ask.priority,
+        tokens: ask.tokens,
+        waited,
+    }
+}
+
+fn refuse(
+    ask: &Ask,
+    reason: Reason,
+    retry_after: Millis,
+    left: Millis,
+    estimate: Millis,
+) -> Decision {
+    Decision::Refuse(Refusal {
+        id: ask.id,
+        org: ask.org.clone(),
+        reason,
+        retry_after,
+        estimate,
+        left,
+    })
+}
