--- a/crates/cumin-admit/src/lib.rs
+++ b/crates/cumin-admit/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod admission;
 mod ask;
+mod org;
 mod queue;
 mod quota;
 mod share;
