--- a/crates/cumin-node/src/lib.rs
+++ b/crates/cumin-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod explain;
 mod fleet;
+mod log_client;
 mod member;
 mod metrics;
 mod node;
--- /dev/null
+++ b/crates/cumin-node/src/log_client.rs
@@ -0,0 +1,63 @@
+//! Calls of the platform's log service.
+
+use std::time::Duration;
+
+use cumin_types::LogOffset;
+use cumin_wire::log::{Appended, Records};
+use serde_json::Value;
+
+use crate::node::Ctx;
+
+/// Longest wait for an answer; after that an append may still take effect.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest page, bytes.
+const MAX_PAGE: usize = 64 << 20;
+
+/// An append without an offset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AppendError {
+    /// It did not take effect and never will.
+    Refused,
+    /// It may have taken effect, or may yet.
+    Lost,
+}
+
+/// Appends one record to a stream.
+pub(crate) async fn append(
+    ctx: &Ctx,
+    stream: &str,
+    body: &Value,
+) -> Result<LogOffset, AppendError> {
+    let url = format!(
+        "http://{}/v1/streams/{stream}/append",
+        ctx.settings.log_address
+    );
+    // A pooled connection that the log closed would make an append uncertain for no reason.
+    let sent = ctx.fresh.post(url).timeout(TIMEOUT).send_json(body).await;
+    let mut answer = match sent {
+        Ok(answer) => answer,
+        Err(awc::error::SendRequestError::Connect(_)) => return Err(AppendError::Refused),
+        Err(_) => return Err(AppendError::Lost),
+    };
+    match answer.status().as_u16() {
+        200 => {
+            let appended: Appended = answer.json().await.map_err(|_| AppendError::Lost)?;
+            Ok(LogOffset(appended.offset))
+        }
+        429 => Err(AppendError::Refused),
+        _ => Err(AppendError::Lost),
+    }
+}
+
+/// Reads records of a stream from `from` on.
+pub(crate) async fn read(ctx: &Ctx, stream: &str, from: LogOffset, limit: u32) -> Option<Records> {
+    let url = format!(
+        "http://{}/v1/streams/{stream}/records?from={from}&limit={limit}",
+        ctx.settings.log_address
+    );
+    let mut answer = ctx.endpoints.get(url).timeout(TIMEOUT).send().await.ok()?;
+    if !answer.status().is_success() {
+        return None;
+    }
+    answer.json().limit(MAX_PAGE).await.ok()
+}
--- a/crates/cumin-node/src/member.rs
+++ b/crates/cumin-node/src/member.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cumin_types::{NodeName, Place, RequestId, rank};
+use cumin_state::batch::Author;
+use cumin_types::{Incarnation, NodeName, Place, RequestId, rank};
 use serde::{Deserialize, Serialize};
 
 use crate::node::Ctx;
@@ -21,6 +22,8 @@
     pub(crate) caller: SocketAddr,
     /// Where nodes connect.
     pub(crate) rpc: SocketAddr,
+    /// Which life of the node.
+    pub(crate) life: Incarnation,
 }
 
 impl AsRef<str> for Member {
@@ -115,6 +118,17 @@
             .collect()
     }
 
+    /// Returns true while that incarnation of a node lives, as far as this node knows.
+    pub(crate) fn alive(&self, author: &Author) -> bool {
+        let others = self.others.borrow();
+        let member = if author.node == self.me.name {
+            Some(&self.me)
+        } else {
+            others.get(&author.node)
+        };
+        member.is_some_and(|member| member.life == author.life)
+    }
+
     /// Returns the live node of that name, other than this one.
     pub(crate) fn named(&self, name: &NodeName) -> Option<Member> {
         self.others.borrow().get(name).cloned()
--- a/crates/cumin-node/src/metrics.rs
+++ b/crates/cumin-node/src/metrics.rs
@@ -36,6 +36,7 @@
     pub(crate) unheld: Counter,
     pub(crate) taken: Counter,
     pub(crate) replica_batches: Counter,
+    pub(crate) appends: Counter,
 }
 
 impl Metrics {
@@ -52,6 +53,7 @@
             unheld: Counter::default(),
             taken: Counter::default(),
             replica_batches: Counter::default(),
+            appends: Counter::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -97,6 +99,7 @@
                 "Batches of tokens sent to second nodes",
                 &metrics.replica_batches,
             ),
+            ("log_appends", "Appends sent to the log", &metrics.appends),
         ] {
             registry.register(name, help, counter.clone());
         }
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -9,19 +9,20 @@
 use cumin_config::{Document, Settings};
 use cumin_http::Server;
 use cumin_request::{Holder, HolderOptions};
-use cumin_types::Millis;
+use cumin_state::batch::Author;
+use cumin_types::{Incarnation, Millis};
 use derive_more::{Display, Error};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use crate::caller;
-use crate::clock::Clock;
+use crate::clock::{Clock, wall};
 use crate::explain::Decisions;
 use crate::fleet::Fleet;
 use crate::member::{self, Member, Members};
 use crate::metrics::Metrics;
 use crate::peer::{self, Call, Client, Found, Inbox};
-use crate::record::Records;
+use crate::record::{Recorders, Records};
 use crate::request::{self, Replicas, Table};
 
 /// Timing that a deployment has no reason to change; tests do.
@@ -82,6 +83,8 @@
     pub(crate) document: RefCell<Rc<Document>>,
     pub(crate) members: Members,
     pub(crate) client: Client,
+    /// For calls that wait on the log.
+    pub(crate) slow_client: Client,
     /// Towards endpoints, with connections kept open.
     pub(crate) endpoints: awc::Client,
     /// Towards endpoints, with a new connection for each call.
@@ -91,6 +94,7 @@
     pub(crate) replicas: Replicas,
     pub(crate) fleet: Fleet,
     pub(crate) records: Records,
+    pub(crate) recorders: Recorders,
     pub(crate) decisions: Decisions,
     pub(crate) metrics: Metrics,
     pub(crate) ready: Cell<bool>,
@@ -145,6 +149,12 @@
             place: settings.place.clone(),
             caller: settings.advertise.unwrap_or(bound),
             rpc: settings.peer_advertise.unwrap_or(peers.address()),
+            // A restarted node has a higher one than its former self.
+            life: Incarnation(wall().0),
+        };
+        let author = Author {
+            node: me.name.clone(),
+            life: me.life,
         };
         let holder = HolderOptions {
             requests: settings.limits.requests_held,
@@ -152,6 +162,7 @@
         };
         let ctx = Rc::new(Ctx {
             client: Client::new(secret.expose(), options.peer_timeout),
+            slow_client: Client::new(secret.expose(), Duration::from_secs(10)),
             endpoints: http_client(&options, Duration::from_secs(15)),
             fresh: http_client(&options, Duration::ZERO),
             clock: Clock::start(),
@@ -161,7 +172,8 @@
             holder: RefCell::new(Holder::new(holder)),
             replicas: Replicas::default(),
             fleet: Fleet::new(),
-            records: Records::default(),
+            records: Records::new(author.clone()),
+            recorders: Recorders::new(author),
             decisions: Decisions::default(),
             metrics: Metrics::new(),
             ready: Cell::new(true),
@@ -174,6 +186,7 @@
             actix_rt::spawn(answer_peers(Rc::clone(&ctx), inbox)).abort_handle(),
             actix_rt::spawn(Fleet::watch(Rc::clone(&ctx))).abort_handle(),
             actix_rt::spawn(member::greet(Rc::clone(&ctx))).abort_handle(),
+            actix_rt::spawn(Recorders::drive(Rc::clone(&ctx))).abort_handle(),
             actix_rt::spawn(tidy(Rc::clone(&ctx))).abort_handle(),
         ];
         log::info!(
@@ -245,6 +258,7 @@
         let drain = ctx.settings.drain_ms.duration();
         let idle = async {
             ctx.table.idle().await;
+            ctx.records.idle().await;
             // Answers may still be on their way to callers.
             self.callers.refuse();
             self.callers.drained().await;
@@ -303,6 +317,12 @@
                     .or_else(|| ctx.holder.borrow_mut().take(id, &taker, now));
                 let _ = reply.send(given);
             }
+            Call::Submit(submission, reply) => {
+                let ctx = Rc::clone(&ctx);
+                actix_rt::spawn(async move {
+                    let _ = reply.send(ctx.recorders.submit(&ctx, *submission).await);
+                });
+            }
             Call::Give(given, reply) => {
                 let ctx = Rc::clone(&ctx);
                 actix_rt::spawn(async move {
--- a/crates/cumin-node/src/peer/rpc.rs
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -1,7 +1,9 @@
 //! The methods that nodes offer each other.
 
 use crate::member::Member;
+use crate::record::Submission;
 use cumin_request::{Ack, Given, Progress, Refused};
+use cumin_state::recorder::Verdict;
 use cumin_types::{Epoch, NodeName, Organisation, Position, RequestId};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
@@ -45,6 +47,10 @@
     #[method(name = "request_take")]
     async fn take(&self, id: RequestId, taker: NodeName) -> RpcResult<Option<Given>>;
 
+    /// Submits a record to the recorder of its shard.
+    #[method(name = "record_submit")]
+    async fn submit(&self, submission: Submission) -> RpcResult<Verdict>;
+
     /// Hands requests over that the sender no longer runs.
     #[method(name = "request_give")]
     async fn give(&self, given: Vec<Given>) -> RpcResult<Vec<bool>>;
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -19,6 +19,8 @@
 use super::rpc::{Found, PeerServer};
 use crate::caller::read_body;
 use crate::member::Member;
+use crate::record::Submission;
+use cumin_state::recorder::Verdict;
 
 /// Largest body between nodes, bytes: one request with its answer, or a batch of progress.
 const MAX_BODY: usize = 64 << 20;
@@ -34,6 +36,7 @@
     Progress(Vec<Progress>, Reply<Vec<Ack>>),
     Find(RequestId, Reply<Option<Found>>),
     Take(RequestId, NodeName, Reply<Option<Given>>),
+    Submit(Box<Submission>, Reply<Verdict>),
     Give(Vec<Given>, Reply<Vec<bool>>),
 }
 
@@ -76,6 +79,11 @@
         self.ask(|reply| Call::Take(id, taker, reply)).await
     }
 
+    async fn submit(&self, submission: Submission) -> RpcResult<Verdict> {
+        self.ask(|reply| Call::Submit(Box::new(submission), reply))
+            .await
+    }
+
     async fn give(&self, given: Vec<Given>) -> RpcResult<Vec<bool>> {
         self.ask(|reply| Call::Give(given, reply)).await
     }
--- a/crates/cumin-node/src/request/plain.rs
+++ b/crates/cumin-node/src/request/plain.rs
@@ -26,14 +26,15 @@
     };
     if let Repeat::Once(key) = repeat {
         match ctx.records.claim(ctx, live, key).await {
-            Claimed::Granted => {}
+            // The log has no other claim, so nobody dispatched this call before.
+            Claimed::Granted => live.run.borrow_mut().granted(),
             Claimed::Ended(finish) => {
                 live.run.borrow_mut().settle(finish);
                 return;
             }
         }
         attempts(ctx, live, &descriptor).await;
-        ctx.records.settle(ctx, live, key);
+        ctx.records.settle(ctx, live).await;
     } else {
         attempts(ctx, live, &descriptor).await;
     }
--- a/crates/cumin-request/src/run.rs
+++ b/crates/cumin-request/src/run.rs
@@ -247,6 +247,11 @@
         Next::Finish(self.give_up(reason))
     }
 
+    /// Records that a claim was granted, which proves that no byte reached an endpoint so far.
+    pub fn granted(&mut self) {
+        self.reached = false;
+    }
+
     /// Ends the request with an answer that was recorded before, of this call or an earlier one.
     pub fn settle(&mut self, finish: Finish) {
         self.attempt = None;
