cumin-config: report all problems of a text with line, key and value

toml::from_str stops at the first fault and knows nothing of references between keys, so an operator would repair one problem a run.

Reads the text into a value with the span of each key, checks it against the JSON schema that schemars makes from the types, replaces bad values by placeholders and then checks references, kinds, capacity and budget. A problem that follows from a replaced value is left out. Keys and secrets are never shown. Settings pass the same checks.

The schema is the only statement of types and ranges, so editors and cuminctl check can't disagree on them.

--- a/crates/cumin-config/src/lib.rs
+++ b/crates/cumin-config/src/lib.rs
@@ -1,12 +1,18 @@
 //! Environment document and node settings: parse, check, diff, digest and promotion.
 
+mod check;
+mod check_settings;
 mod document;
 mod key;
 mod lookup;
 mod parse;
+mod path;
 mod pattern;
 mod problem;
+mod schema;
 mod settings;
+mod shape;
+mod source;
 
 pub use document::{
     Budget, ClassSpec, Document, Entry, Environment, EnvironmentKind, Fencing, KEY_RETENTION_S,
@@ -15,4 +21,5 @@
 };
 pub use key::{KEY_PREFIX, generate_key, key_digest};
 pub use problem::{Problem, Problems};
-pub use settings::{Limits, Secret, Settings};
+pub use schema::{schema, settings_schema};
+pub use settings::{Limits, SECRET_CHARS, Secret, SecretError, Settings};
--- a/crates/cumin-config/src/settings.rs
+++ b/crates/cumin-config/src/settings.rs
@@ -1,15 +1,20 @@
 //! Settings of a node.
 
 use std::fmt;
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
 use cumin_types::{Millis, NodeName, Place, Region};
+use derive_more::{Display, Error};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
 use crate::pattern;
 
+/// Least length of the shared secret, characters.
+pub const SECRET_CHARS: usize = 32;
+
 /// What a node has to know before it reads the log.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -51,7 +56,7 @@
     /// File that holds the secret shared by the nodes of the environment.
     pub secret_file: Option<PathBuf>,
     /// The shared secret itself; `secret_file` is preferred.
-    #[schemars(with = "Option<String>", length(min = 32))]
+    #[schemars(with = "Option<String>", length(min = SECRET_CHARS))]
     pub secret: Option<Secret>,
     /// Time for requests in flight after a stop was ordered, milliseconds.
     #[serde(default = "drain_ms")]
@@ -130,6 +135,54 @@
     }
 }
 
+impl Settings {
+    /// Returns the shared secret, from its file if one is set.
+    ///
+    /// # Errors
+    /// When there is neither a secret nor a file, the file can't be read, or the secret is short.
+    pub fn load_secret(&self) -> Result<Secret, SecretError> {
+        let secret = match (&self.secret, &self.secret_file) {
+            (Some(secret), _) => secret.clone(),
+            (None, None) => return Err(SecretError::Missing),
+            (None, Some(path)) => {
+                let text =
+                    std::fs::read_to_string(path).map_err(|source| SecretError::Unreadable {
+                        path: path.clone(),
+                        source,
+                    })?;
+                Secret::new(&text)
+            }
+        };
+        let chars = secret.chars();
+        if chars < SECRET_CHARS {
+            return Err(SecretError::Short { chars });
+        }
+        Ok(secret)
+    }
+}
+
+/// The shared secret can't be used.
+#[derive(Debug, Display, Error)]
+pub enum SecretError {
+    /// Neither `secret_file` nor `secret` is set.
+    #[display("neither `secret_file` nor `secret` is set")]
+    Missing,
+    /// The file can't be read.
+    #[display("secret_file {} can't be read: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The secret is too short.
+    #[display("the shared secret has {chars} characters; at least {SECRET_CHARS} are needed")]
+    Short {
+        /// Number of characters without white space around them.
+        chars: usize,
+    },
+}
+
 fn drain_ms() -> Millis {
     Millis(20_000)
 }
@@ -141,9 +194,15 @@
 
 /// The secret shared by the nodes of an environment. Its debug form hides the text.
 #[derive(Clone, PartialEq, Eq, Deserialize)]
-#[serde(transparent)]
+#[serde(from = "String")]
 pub struct Secret(String);
 
+impl From<String> for Secret {
+    fn from(text: String) -> Self {
+        Self::new(&text)
+    }
+}
+
 impl Secret {
     /// Takes the text of a secret, without white space around it.
     #[must_use]
@@ -151,6 +210,10 @@
         Self(text.trim().into())
     }
 
+    pub(crate) fn chars(&self) -> usize {
+        self.0.chars().count()
+    }
+
     /// Returns the text, to be sent in `authorization`.
     #[must_use]
     pub fn expose(&self) -> &str {
--- a/crates/cumin-config/tests/all/lookup.rs
+++ b/crates/cumin-config/tests/all/lookup.rs
@@ -3,7 +3,7 @@
 use rand_chacha::rand_core::SeedableRng;
 
 fn bakers() -> Document {
-    Document::parse(include_str!("../../../../examples/bakers.toml")).expect("a valid example")
+    crate::good(crate::BAKERS)
 }
 
 /// Guards against a caller that is billed to another organisation, or let in without a key.
