cumin-config: diff documents and promote a tested one with overrides

Conflicting changes have to name the differing keys, and production has to be exactly what was tested apart from what an environment must have of its own.

diff compares both documents by key path; an added or removed table is one change. promote merges a second TOML text over the trial document by key path, with a list of paths to remove, and accepts only identity, places, offers, counts of instances, organisations, limits and budget. promotion_diff is the reverse check, untested lists the changes that no overrides can make.

One mechanism serves both directions, so a record needs only the tested digest and the text of the overrides.

--- a/crates/cumin-config/src/lib.rs
+++ b/crates/cumin-config/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod check_settings;
+mod diff;
 mod document;
 mod key;
 mod lookup;
@@ -9,11 +10,13 @@
 mod path;
 mod pattern;
 mod problem;
+mod promote;
 mod schema;
 mod settings;
 mod shape;
 mod source;
 
+pub use diff::{Change, diff};
 pub use document::{
     Budget, ClassSpec, Document, Entry, Environment, EnvironmentKind, Fencing, KEY_RETENTION_S,
     Market, Method, ModelSpec, Objective, Offer, OrganisationSpec, PlaceSpec, Promises, Quota,
@@ -21,5 +24,6 @@
 };
 pub use key::{KEY_PREFIX, generate_key, key_digest};
 pub use problem::{Problem, Problems};
+pub use promote::{OVERRIDABLE, promote, promotion_diff, untested};
 pub use schema::{schema, settings_schema};
 pub use settings::{Limits, SECRET_CHARS, Secret, SecretError, Settings};
--- a/crates/cumin-config/src/path.rs
+++ b/crates/cumin-config/src/path.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use toml::de::{DeTable, DeValue};
+
 /// Keys from the root to a value; an element of a list is written `[n]`, from 0.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct KeyPath(pub(crate) Vec<String>);
@@ -25,6 +27,26 @@
     pub(crate) fn overlaps(&self, other: &Self) -> bool {
         self.0.starts_with(&other.0) || other.0.starts_with(&self.0)
     }
+
+    /// Reads a dotted key as TOML writes it.
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        if text.contains(['\n', '\r', '#']) {
+            return None;
+        }
+        let line = format!("{text}=0");
+        let root = DeTable::parse(&line).ok()?.into_inner();
+        let mut parts = Vec::new();
+        let mut table = &root;
+        loop {
+            let (key, value) = table.iter().next()?;
+            parts.push(key.get_ref().to_string());
+            match value.get_ref() {
+                DeValue::Table(inner) => table = inner,
+                DeValue::Integer(_) => return Some(Self(parts)),
+                _ => return None,
+            }
+        }
+    }
 }
 
 impl fmt::Display for KeyPath {
--- a/crates/cumin-config/tests/all/main.rs
+++ b/crates/cumin-config/tests/all/main.rs
@@ -2,7 +2,9 @@
 
 mod bad_input;
 mod bad_settings;
+mod diff;
 mod lookup;
+mod promote;
 mod render;
 mod schema;
 
@@ -10,8 +12,10 @@
 
 const BAKERS: &str = include_str!("../../../../examples/bakers.toml");
 const BAKERS_TRIAL: &str = include_str!("../../../../examples/bakers-trial.toml");
+const BAKERS_OVERRIDES: &str = include_str!("../../../../examples/bakers-overrides.toml");
 const JUDGES: &str = include_str!("../../../../examples/judges.toml");
 const JUDGES_TRIAL: &str = include_str!("../../../../examples/judges-trial.toml");
+const JUDGES_OVERRIDES: &str = include_str!("../../../../examples/judges-overrides.toml");
 
 fn good(text: &str) -> Document {
     Document::parse(text).unwrap_or_else(|problems| panic!("{problems}"))
