Treat a connection closed before the answer as a call that may have run

Cause: awc reports ConnectError::Disconnected when a connection closes after the request was sent and before an answer. The node took every Connect error for a call that never left, retried, and a booking took effect twice; the log client would have taken such an append for one that never landed.

Ruled out: a retry inside awc (it has none), a second claim (one claim in the log).

http::unsent now lists the errors that prove that no byte left. Nodes track their tasks, so that a crash in a test ends all of them: before, a crashed node went on to record the ending.

--- a/crates/cumin-node/src/caller.rs
+++ b/crates/cumin-node/src/caller.rs
@@ -96,9 +96,9 @@
 }
 
 /// Reads the time left to the deadline.
-fn deadline(ctx: &Ctx, request: &Request) -> Result<Millis, Problem> {
+fn deadline(request: &Request, default: Millis) -> Result<Millis, Problem> {
     let Some(value) = text(request, header::DEADLINE_MS) else {
-        return Ok(ctx.options.deadline);
+        return Ok(default);
     };
     match value.parse() {
         Ok(left @ 1..=MAX_DEADLINE_MS) => Ok(Millis(left)),
--- a/crates/cumin-node/src/caller/completion.rs
+++ b/crates/cumin-node/src/caller/completion.rs
@@ -23,7 +23,7 @@
     org: Organisation,
     chat: bool,
 ) -> Result<Response<BoxBody>, Problem> {
-    let left = super::deadline(ctx, &request)?;
+    let left = super::deadline(&request, ctx.options.deadline)?;
     let limit = ctx.settings.limits.body_bytes;
     let bytes = read_body(&mut request, limit)
         .await
--- a/crates/cumin-node/src/caller/plain.rs
+++ b/crates/cumin-node/src/caller/plain.rs
@@ -46,7 +46,7 @@
         Some(query) => format!("{path}?{query}"),
         None => path.to_owned(),
     };
-    let left = super::deadline(ctx, &request)?;
+    let left = super::deadline(&request, ctx.options.plain_deadline)?;
     let priority = super::priority(&request, Priority::Live)?;
     let content = text(&request, "content-type").map(str::to_owned);
     let limit = ctx.settings.limits.body_bytes;
--- a/crates/cumin-node/src/fleet/watch.rs
+++ b/crates/cumin-node/src/fleet/watch.rs
@@ -215,7 +215,8 @@
         name,
         &format!("reason=reclaim left_ms={left}"),
     );
-    actix_rt::spawn(reclaim::evacuate(Rc::clone(ctx), name.clone(), left));
+    ctx.tasks
+        .spawn(reclaim::evacuate(Rc::clone(ctx), name.clone(), left));
 }
 
 /// Reads the reports of one endpoint, unless the last read has not ended yet.
@@ -225,7 +226,8 @@
     }
     let (ctx, name, address) = (Rc::clone(ctx), name.clone(), watched.address);
     let reading = Rc::clone(&watched.reading);
-    actix_rt::spawn(async move {
+    let tasks = ctx.tasks.clone();
+    tasks.spawn(async move {
         if let Some(load) = get::<Load>(&ctx, &format!("http://{address}/v1/load")).await {
             ctx.fleet
                 .router
--- a/crates/cumin-node/src/lib.rs
+++ b/crates/cumin-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod explain;
 mod fleet;
+mod http;
 mod log_client;
 mod member;
 mod metrics;
@@ -16,6 +17,7 @@
 mod peer;
 mod record;
 mod request;
+mod task;
 
 pub use explain::Decision;
 pub use node::{Node, Options, StartError};
--- a/crates/cumin-node/src/log_client.rs
+++ b/crates/cumin-node/src/log_client.rs
@@ -6,6 +6,7 @@
 use cumin_wire::log::{Appended, Records};
 use serde_json::Value;
 
+use crate::http;
 use crate::node::Ctx;
 
 /// Longest wait for an answer; after that an append may still take effect.
@@ -36,7 +37,7 @@
     let sent = ctx.fresh.post(url).timeout(TIMEOUT).send_json(body).await;
     let mut answer = match sent {
         Ok(answer) => answer,
-        Err(awc::error::SendRequestError::Connect(_)) => return Err(AppendError::Refused),
+        Err(error) if http::unsent(&error) => return Err(AppendError::Refused),
         Err(_) => return Err(AppendError::Lost),
     };
     match answer.status().as_u16() {
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -13,17 +13,18 @@
 use cumin_types::{Incarnation, Millis};
 use derive_more::{Display, Error};
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
 
 use crate::caller;
 use crate::clock::{Clock, wall};
 use crate::explain::Decisions;
 use crate::fleet::Fleet;
+use crate::http;
 use crate::member::{self, Member, Members};
 use crate::metrics::Metrics;
 use crate::peer::{self, Call, Client, Found, Inbox};
 use crate::record::{Recorders, Records};
 use crate::request::{self, Replicas, Table};
+use crate::task::Tasks;
 
 /// Timing that a deployment has no reason to change; tests do.
 #[derive(Clone, Debug)]
@@ -36,8 +37,10 @@
     pub peer_timeout: Duration,
     /// Longest wait for a connection to an endpoint.
     pub connect_timeout: Duration,
-    /// Time from acceptance to the deadline, where the caller names none.
+    /// Time from acceptance to the deadline of a completion whose caller names none.
     pub deadline: Millis,
+    /// The same for a call of a plain service.
+    pub plain_deadline: Millis,
     /// Time that a request goes on while nobody reads its answer.
     pub abandon: Millis,
     /// Period of reading the platform's lists and the endpoints' reports.
@@ -52,6 +55,7 @@
             peer_timeout: Duration::from_millis(500),
             connect_timeout: Duration::from_millis(500),
             deadline: Millis(120_000),
+            plain_deadline: Millis(10_000),
             abandon: Millis(30_000),
             poll: Duration::from_millis(200),
         }
@@ -77,6 +81,7 @@
 
 /// Everything that a node's tasks share; each field is written by one slice only.
 pub(crate) struct Ctx {
+    pub(crate) tasks: Tasks,
     pub(crate) settings: Settings,
     pub(crate) options: Options,
     pub(crate) clock: Clock,
@@ -113,19 +118,6 @@
     ctx: Rc<Ctx>,
     callers: Server,
     peers: Server,
-    tasks: Vec<AbortHandle>,
-}
-
-fn http_client(options: &Options, keep: Duration) -> awc::Client {
-    let connector = awc::Connector::new()
-        .timeout(options.connect_timeout)
-        .conn_keep_alive(keep)
-        .limit(4096);
-    awc::Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish()
 }
 
 impl Node {
@@ -163,8 +155,9 @@
         let ctx = Rc::new(Ctx {
             client: Client::new(secret.expose(), options.peer_timeout),
             slow_client: Client::new(secret.expose(), Duration::from_secs(10)),
-            endpoints: http_client(&options, Duration::from_secs(15)),
-            fresh: http_client(&options, Duration::ZERO),
+            endpoints: http::client(options.connect_timeout, Duration::from_secs(15)),
+            fresh: http::client(options.connect_timeout, Duration::ZERO),
+            tasks: Tasks::default(),
             clock: Clock::start(),
             document: RefCell::new(Rc::new(document)),
             members: Members::new(me),
@@ -182,13 +175,11 @@
             options,
         });
         let callers = caller::serve(&ctx, listener).map_err(bind(bound))?;
-        let tasks = vec![
-            actix_rt::spawn(answer_peers(Rc::clone(&ctx), inbox)).abort_handle(),
-            actix_rt::spawn(Fleet::watch(Rc::clone(&ctx))).abort_handle(),
-            actix_rt::spawn(member::greet(Rc::clone(&ctx))).abort_handle(),
-            actix_rt::spawn(Recorders::drive(Rc::clone(&ctx))).abort_handle(),
-            actix_rt::spawn(tidy(Rc::clone(&ctx))).abort_handle(),
-        ];
+        ctx.tasks.spawn(answer_peers(Rc::clone(&ctx), inbox));
+        ctx.tasks.spawn(Fleet::watch(Rc::clone(&ctx)));
+        ctx.tasks.spawn(member::greet(Rc::clone(&ctx)));
+        ctx.tasks.spawn(Recorders::drive(Rc::clone(&ctx)));
+        ctx.tasks.spawn(tidy(Rc::clone(&ctx)));
         log::info!(
             "event=started node={} place={} callers={} peers={}",
             ctx.settings.name,
@@ -200,7 +191,6 @@
             ctx,
             callers,
             peers,
-            tasks,
         })
     }
 
@@ -275,9 +265,7 @@
 
     /// Stops at once, as a crash would: every connection is closed and every task ends.
     pub fn crash(self) {
-        for live in self.ctx.table.all() {
-            live.supersede();
-        }
+        self.ctx.tasks.abort();
         self.callers.abort();
         self.peers.abort();
     }
@@ -285,9 +273,7 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.ctx.tasks.abort();
     }
 }
 
@@ -319,13 +305,15 @@
             }
             Call::Submit(submission, reply) => {
                 let ctx = Rc::clone(&ctx);
-                actix_rt::spawn(async move {
+                let tasks = ctx.tasks.clone();
+                tasks.spawn(async move {
                     let _ = reply.send(ctx.recorders.submit(&ctx, *submission).await);
                 });
             }
             Call::Give(given, reply) => {
                 let ctx = Rc::clone(&ctx);
-                actix_rt::spawn(async move {
+                let tasks = ctx.tasks.clone();
+                tasks.spawn(async move {
                     let mut taken = Vec::with_capacity(given.len());
                     for given in given {
                         request::take_over(&ctx, given, "given").await;
--- a/crates/cumin-node/src/record/call.rs
+++ b/crates/cumin-node/src/record/call.rs
@@ -154,7 +154,8 @@
     fn record(&self, ctx: &Rc<Ctx>, mut call: Call) -> actix_rt::task::JoinHandle<()> {
         self.pending.set(self.pending.get() + 1);
         let ctx = Rc::clone(ctx);
-        actix_rt::spawn(async move {
+        let tasks = ctx.tasks.clone();
+        tasks.spawn(async move {
             while !call.over() {
                 let now = ctx.clock.now();
                 if let Some(Step::Submit(ask)) = call.poll(now) {
--- a/crates/cumin-node/src/record/shard.rs
+++ b/crates/cumin-node/src/record/shard.rs
@@ -160,7 +160,8 @@
                 body,
             } => {
                 ctx.metrics.appends.inc();
-                actix_rt::spawn(async move {
+                let tasks = ctx.tasks.clone();
+                tasks.spawn(async move {
                     let answer = log_client::append(&ctx, &stream.to_string(), &body).await;
                     let input = match answer {
                         Ok(offset) => writer::Input::Appended { batch, offset },
@@ -176,7 +177,8 @@
                 limit,
                 purpose,
             } => {
-                actix_rt::spawn(async move {
+                let tasks = ctx.tasks.clone();
+                tasks.spawn(async move {
                     let page = log_client::read(&ctx, &stream.to_string(), from, limit).await;
                     let input = match &page {
                         Some(page) => Input::Read {
--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -269,7 +269,8 @@
     let call = ctx
         .endpoints
         .delete(format!("http://{}/v1/attempts/{attempt}", picked.address));
-    actix_rt::spawn(async move {
+    let tasks = ctx.tasks.clone();
+    tasks.spawn(async move {
         if let Err(error) = call.timeout(Duration::from_secs(1)).send().await {
             log::debug!("event=cancel_failed attempt={attempt} error={error:?}");
         }
--- a/crates/cumin-node/src/request/engine.rs
+++ b/crates/cumin-node/src/request/engine.rs
@@ -10,6 +10,8 @@
 use cumin_wire::{header, sse};
 use futures_util::{Stream, StreamExt};
 
+use crate::http;
+
 /// What an engine sends.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Event {
@@ -99,11 +101,10 @@
 
 /// Says whether a byte can have reached the endpoint.
 pub(crate) fn broke(error: &awc::error::SendRequestError) -> Broke {
-    match error {
-        awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_) => {
-            Broke::NotConnected
-        }
-        _ => Broke::Broken,
+    if http::unsent(error) {
+        Broke::NotConnected
+    } else {
+        Broke::Broken
     }
 }
 
--- a/crates/cumin-node/src/request/replica.rs
+++ b/crates/cumin-node/src/request/replica.rs
@@ -43,7 +43,8 @@
         lane.dirty.borrow_mut().insert(live.id);
         if !lane.busy.replace(true) {
             let ctx = Rc::clone(ctx);
-            actix_rt::spawn(async move {
+            let tasks = ctx.tasks.clone();
+            tasks.spawn(async move {
                 flush(&ctx, &lane).await;
                 lane.busy.set(false);
             });
--- a/crates/cumin-node/src/request/takeover.rs
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -22,7 +22,8 @@
     ctx.table.insert(Rc::clone(&live));
     ctx.metrics.running.inc();
     let ctx = Rc::clone(ctx);
-    actix_rt::spawn(async move {
+    let tasks = ctx.tasks.clone();
+    tasks.spawn(async move {
         let finished = live.run.borrow().finish().is_some();
         if !finished {
             let plain = matches!(live.run.borrow().descriptor().call, Call::Plain { .. });
--- /dev/null
+++ b/crates/cumin-node/src/task.rs
@@ -0,0 +1,50 @@
+//! The tasks of a node, so that stopping or crashing it ends all of them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+
+use tokio::task::{AbortHandle, JoinHandle};
+
+/// Running tasks.
+#[derive(Clone, Default)]
+pub(crate) struct Tasks {
+    shared: Rc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    next: Cell<u64>,
+    running: RefCell<HashMap<u64, AbortHandle>>,
+    ended: Cell<bool>,
+}
+
+impl Tasks {
+    /// Starts a local task.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) -> JoinHandle<()> {
+        let id = self.shared.next.replace(self.shared.next.get() + 1);
+        let shared = Rc::clone(&self.shared);
+        let handle = actix_rt::spawn(async move {
+            task.await;
+            shared.running.borrow_mut().remove(&id);
+        });
+        if self.shared.ended.get() {
+            handle.abort();
+        } else {
+            self.shared
+                .running
+                .borrow_mut()
+                .insert(id, handle.abort_handle());
+        }
+        handle
+    }
+
+    /// Ends all tasks at once, and every later one.
+    pub(crate) fn abort(&self) {
+        self.shared.ended.set(true);
+        for (_, task) in self.shared.running.borrow_mut().drain() {
+            task.abort();
+        }
+    }
+}
--- a/crates/cumin-testbed/tests/all/main.rs
+++ b/crates/cumin-testbed/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod support;
 
+mod actions;
 mod streams;
