Test every stand-in over its socket and admit into a free slot

An engine with a queue of zero refused attempts although a slot was free: the bound counted waiting requests only. A stalled stream now goes on when the fault is lifted, so tests can make events late.

Tests wait for conditions, not for times, wherever a busy machine could shift them.

--- a/crates/cumin-standin/src/engine.rs
+++ b/crates/cumin-standin/src/engine.rs
@@ -107,7 +107,7 @@
     pub poison: Option<String>,
     /// Accepts calls and never answers.
     pub hang: bool,
-    /// Tokens of an attempt after which its stream stalls.
+    /// Tokens of an attempt after which its stream stalls, until this is lifted.
     pub stall: Option<u64>,
     /// Factor on all delays.
     pub slow: f64,
--- a/crates/cumin-standin/src/engine/batch.rs
+++ b/crates/cumin-standin/src/engine/batch.rs
@@ -58,9 +58,10 @@
         }
     }
 
-    /// Returns the number of waiting requests.
-    pub fn waiting(&self) -> usize {
-        self.state.borrow().waiting.len()
+    /// Returns whether a further request would be one too many in a queue of `limit`.
+    pub fn full(&self, limit: usize) -> bool {
+        let state = self.state.borrow();
+        state.running.len() >= self.slots && state.waiting.len() >= limit
     }
 
     /// Enters a request with `tokens` to prefill.
--- a/crates/cumin-standin/src/engine/calls.rs
+++ b/crates/cumin-standin/src/engine/calls.rs
@@ -107,7 +107,7 @@
         prompt: String,
         chat: bool,
     ) -> Result<Task, Reply> {
-        let full = self.batch.waiting() >= self.options.queue;
+        let full = self.batch.full(self.options.queue);
         if full || self.faults.borrow().refuse {
             let message = "the engine takes no attempts at present";
             return Err(host::refuse(
--- a/crates/cumin-standin/src/engine/generate.rs
+++ b/crates/cumin-standin/src/engine/generate.rs
@@ -20,6 +20,9 @@
 /// Stands for a token while the fixed parts of an event are written; JSON escapes it.
 const MARK: &str = "\u{1}";
 
+/// Time from one look at a stalled attempt's fault to the next.
+const STALL_CHECK: Duration = Duration::from_millis(5);
+
 /// What other calls may know and do of a running attempt.
 #[derive(Default)]
 pub struct Attempt {
@@ -165,7 +168,9 @@
             }
             let stall = self.shared.faults.borrow().stall;
             if stall.is_some_and(|stall| stall <= self.sent) {
-                return std::future::pending().await;
+                // A test can lift the stall, and the events come late.
+                actix_rt::time::sleep(STALL_CHECK).await;
+                continue;
             }
             let tokens = self.due();
             if !tokens.is_empty() {
--- /dev/null
+++ b/crates/cumin-standin/tests/all/append_log.rs
@@ -0,0 +1,121 @@
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use cumin_standin::Outage;
+use cumin_standin::log::{Log, Options};
+use cumin_wire::log::{Appended, Records};
+use serde_json::json;
+
+use crate::calls::{call, ok, status, until};
+
+const APPEND: &str = "/v1/streams/record/3/append";
+
+fn log(options: Options) -> Log {
+    Log::start(options).expect("a free port")
+}
+
+async fn read(log: &Log, query: &str) -> Records {
+    let path = format!("/v1/streams/record/3/records?{query}");
+    ok(log.address(), "GET", &path, ()).await
+}
+
+/// Guards against offsets that change or repeat when old records go.
+#[actix_rt::test]
+async fn offsets_outlive_retention() {
+    let log = log(Options::default());
+    for index in 0..5 {
+        let at: Appended = ok(log.address(), "POST", APPEND, json!({"n": index})).await;
+        assert_eq!(at.offset, index);
+    }
+    let some = read(&log, "from=1&limit=2").await;
+    assert_eq!((some.first, some.next), (0, 5));
+    let bodies: Vec<_> = some.records.iter().map(|record| &record.body).collect();
+    assert_eq!(bodies, [&json!({"n": 1}), &json!({"n": 2})]);
+    log.expire("record/3", 3);
+    let left = read(&log, "from=0").await;
+    assert_eq!((left.first, left.next, left.records[0].offset), (3, 5, 3));
+    log.expire("record/3", 9);
+    let empty = read(&log, "from=0").await;
+    assert_eq!((empty.first, empty.next, empty.records.len()), (5, 5, 0));
+    assert_eq!(log.append("record/3", json!(1)), 5);
+    assert_eq!(log.peek("record/3").len(), 1);
+    assert!(log.peek("other").is_empty());
+    let bad = call(log.address(), "POST", "/v1/streams//append", &[], 1).await;
+    assert_eq!(bad.expect("an answer").0, StatusCode::NOT_FOUND);
+    assert_eq!((log.stats().appends, log.stats().bytes), (5, 5 * 7));
+}
+
+/// Guards against records that stay past their age.
+#[actix_rt::test]
+async fn records_age() {
+    let log = log(Options {
+        retention: Duration::from_millis(400),
+        ..Options::default()
+    });
+    log.append("record/3", json!(1));
+    assert_eq!(read(&log, "").await.records.len(), 1);
+    actix_rt::time::sleep(Duration::from_millis(450)).await;
+    log.append("record/3", json!(2));
+    let left = read(&log, "").await;
+    assert_eq!((left.first, left.records.len()), (1, 1));
+}
+
+/// Guards against an append rate that is not kept.
+#[actix_rt::test]
+async fn appends_are_limited() {
+    let log = log(Options {
+        rate: 3,
+        ..Options::default()
+    });
+    let mut limited = 0;
+    for _ in 0..5 {
+        let got = status(log.address(), "POST", APPEND, 1).await;
+        limited += u64::from(got == StatusCode::TOO_MANY_REQUESTS);
+    }
+    assert_eq!(
+        (limited, log.stats().limited, log.peek("record/3").len()),
+        (2, 2, 3)
+    );
+    actix_rt::time::sleep(Duration::from_millis(1010)).await;
+    assert_eq!(
+        status(log.address(), "POST", APPEND, 1).await,
+        StatusCode::OK
+    );
+}
+
+/// Guards against a lost answer without its effect, and an outage with one.
+#[actix_rt::test]
+async fn lost_answers_and_outages() {
+    let log = log(Options {
+        seed: 3,
+        ..Options::default()
+    });
+    log.fault(|faults| faults.lose = 1);
+    assert!(call(log.address(), "POST", APPEND, &[], 1).await.is_none());
+    assert_eq!(log.peek("record/3").len(), 1);
+    log.fault(|faults| faults.lose_rate = 0.5);
+    let mut lost = 0;
+    for _ in 0..20 {
+        lost += u64::from(call(log.address(), "POST", APPEND, &[], 1).await.is_none());
+    }
+    assert!((1..20).contains(&lost) && log.stats().lost == lost + 1);
+    assert_eq!(log.peek("record/3").len(), 21);
+    log.fault(|faults| faults.outage = Some(Outage::Unavailable));
+    let down = status(log.address(), "POST", APPEND, 1).await;
+    assert_eq!(down, StatusCode::SERVICE_UNAVAILABLE);
+    log.fault(|faults| faults.outage = Some(Outage::Hang));
+    let patience = Duration::from_millis(50);
+    let hung = call(log.address(), "POST", APPEND, &[], 1);
+    assert!(actix_rt::time::timeout(patience, hung).await.is_err());
+    log.crash();
+    log.fault(|faults| faults.outage = None);
+    assert!(call(log.address(), "POST", APPEND, &[], 1).await.is_none());
+    log.restart().await.expect("the same port");
+    assert_eq!(read(&log, "").await.next, 21);
+    // The caller gives up, the append takes effect later.
+    log.fault(|faults| (faults.slow, faults.lose_rate) = (patience * 8, 0.0));
+    let gone = call(log.address(), "POST", APPEND, &[], 1);
+    assert!(actix_rt::time::timeout(patience, gone).await.is_err());
+    assert_eq!(log.peek("record/3").len(), 21);
+    until(async || log.peek("record/3").len() == 22).await;
+}
--- a/crates/cumin-standin/tests/all/calls.rs
+++ b/crates/cumin-standin/tests/all/calls.rs
@@ -57,6 +57,17 @@
     answer.expect("an answer").0
 }
 
+/// Waits until `holds`; fails after five seconds.
+pub async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    for _ in 0..2500 {
+        if holds().await {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(2)).await;
+    }
+    panic!("the condition did not come to hold");
+}
+
 /// A streamed answer as far as it came.
 #[derive(Debug, Default)]
 pub struct Streamed {
--- a/crates/cumin-standin/tests/all/stream_answers.rs
+++ b/crates/cumin-standin/tests/all/stream_answers.rs
@@ -5,9 +5,9 @@
 use cumin_wire::completion::Answer;
 use serde_json::json;
 
-use crate::calls::{Streamed, call, ok, status, stream};
+use crate::calls::{Streamed, call, ok, status, stream, until};
 
-const SILENCE: Duration = Duration::from_millis(300);
+const SILENCE: Duration = Duration::from_secs(1);
 
 fn engine(faults: Faults) -> Engine {
     Engine::start(Options {
@@ -121,7 +121,7 @@
         ..Faults::default()
     });
     let stop = async {
-        actix_rt::time::sleep(SILENCE / 3).await;
+        until(async || engine.stats().generated == 3).await;
         assert_eq!(engine.attempts(), ["a1"]);
         status(engine.address(), "DELETE", "/v1/attempts/a1", ()).await
     };
