--- a/crates/cumin-route/src/choice.rs
+++ b/crates/cumin-route/src/choice.rs
@@ -14,7 +14,7 @@
     pub service: Service,
     /// The model asked for; none for a plain service.
     pub model: Option<Model>,
-    /// Hashes of the prompt's whole blocks, [`cumin_wire::engine::blocks`].
+    /// Hashes of the prompt's whole blocks, [`cumin_wire::engine::block_hashes`].
     pub blocks: Vec<u64>,
     /// Tokens of the prompt.
     pub prompt: u64,
--- a/crates/cumin-route/tests/all/index.rs
+++ b/crates/cumin-route/tests/all/index.rs
@@ -2,7 +2,7 @@
 
 use cumin_route::{Finish, Options, Router, Trust};
 use cumin_types::Millis;
-use cumin_wire::engine::{BLOCK_TOKENS, CacheChange, CacheEvent, CacheList, blocks};
+use cumin_wire::engine::{BLOCK_TOKENS, CacheChange, CacheEvent, CacheList, block_hashes};
 
 use crate::setup::{document, endpoint, query, work};
 
@@ -24,12 +24,15 @@
 #[test]
 fn chained() {
     let text = |first: &str| format!("{first} {}", "word ".repeat(3 * BLOCK_TOKENS));
-    let (one, other) = (blocks(&text("one")), blocks(&text("other")));
+    let (one, other) = (
+        block_hashes("referee", &text("one")),
+        block_hashes("referee", &text("other")),
+    );
     assert_eq!(one.len(), 3);
     assert!(one.iter().all(|hash| !other.contains(hash)));
-    let longer = blocks(&format!("{}and more of it", text("one")));
+    let longer = block_hashes("referee", &format!("{}and more of it", text("one")));
     assert_eq!(longer[..3], one[..]);
-    assert!(blocks("too short for a block").is_empty());
+    assert!(block_hashes("referee", "too short for a block").is_empty());
 }
 
 /// Guards against an index that counts blocks after a missed event.
--- a/crates/cumin-route/tests/all/setup.rs
+++ b/crates/cumin-route/tests/all/setup.rs
@@ -3,7 +3,7 @@
 use cumin_route::{EndpointInfo, Query, Work};
 use cumin_types::{AttemptId, Cost, Priority};
 use cumin_wire::cloud::Market;
-use cumin_wire::engine::{BLOCK_TOKENS, chain};
+use cumin_wire::engine::{BLOCK_TOKENS, BlockChain};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use uuid::Uuid;
@@ -28,12 +28,9 @@
 
 /// Returns `count` blocks of one document.
 pub fn document(seed: u64, count: usize) -> Vec<u64> {
-    let mut last = seed;
-    (0..count)
-        .map(|_| {
-            last = chain(last, b"block");
-            last
-        })
+    let mut chain = BlockChain::new(&seed.to_string());
+    (0..count * BLOCK_TOKENS)
+        .filter_map(|_| chain.push("word "))
         .collect()
 }
 
