--- /dev/null
+++ b/crates/cumin-member/tests/all/bounds.rs
@@ -0,0 +1,47 @@
+use crate::net::{Net, item};
+
+/// Messages that grow with the cluster would exceed the byte budget of a node.
+#[test]
+fn messages_stay_within_their_bytes() {
+    for (count, seed) in [(4, 1), (64, 2), (200, 3)] {
+        let mut net = Net::settled(count, seed);
+        net.loss = 0.2;
+        for number in 0..300 {
+            net.publish(
+                number % count,
+                item(&format!("quota/organisation-{number}"), 1),
+            );
+        }
+        (0..count / 4).for_each(|index| net.crash(index));
+        net.run(20_000);
+        assert!(net.largest <= 1_400, "{count} nodes: {} bytes", net.largest);
+    }
+}
+
+/// Load per node must not depend on the number of nodes.
+#[test]
+fn quiet_load_is_flat() {
+    for (count, seed) in [(4, 1), (64, 2), (200, 3)] {
+        let mut net = Net::settled(count, seed);
+        net.run(30_000);
+        let (messages, bytes) = (net.messages, net.bytes);
+        net.run(20_000);
+        let nodes = 20 * count as u64;
+        // Five probes and five answers a second, with some room for comparisons.
+        assert!((net.messages - messages) / nodes <= 12, "{count} nodes");
+        assert!((net.bytes - bytes) / nodes <= 4_000, "{count} nodes");
+    }
+}
+
+/// A message of a later version of the system may have fields that this one does not know.
+#[test]
+fn unknown_fields_are_ignored() {
+    let net = Net::settled(2, 4);
+    let from = net.nodes[0]
+        .machine
+        .record(&crate::net::name(0))
+        .expect("itself");
+    let text = serde_json::json!({"from": from, "digest": 1, "later": true}).to_string();
+    let message: cumin_member::Message = serde_json::from_str(&text).expect("parses");
+    assert_eq!(&message.from, from);
+}
--- /dev/null
+++ b/crates/cumin-member/tests/all/crash.rs
@@ -0,0 +1,57 @@
+use cumin_member::Status;
+
+use crate::net::Net;
+
+/// A crashed node that stays listed would keep receiving descriptors and duties.
+#[test]
+fn crash_is_seen_by_all() {
+    for (count, seed) in [(2, 1), (4, 2), (16, 3), (64, 4), (330, 5)] {
+        let mut net = Net::settled(count, seed);
+        net.loss = 0.05;
+        net.crash(count - 1);
+        // Suspicion time, and 30 periods to notice and to tell everyone.
+        let limit = net.nodes[0].machine.suspicion() + 30 * 200;
+        let seen = net.until(limit, |net| {
+            net.all_hold(count - 1, |held| held == Some(Status::Dead))
+        });
+        assert!(seen.is_some(), "{count} nodes: {}", net.state());
+        net.loss = 0.0;
+        assert!(
+            net.until(20_000, Net::agree).is_some(),
+            "{count} nodes: {}",
+            net.state()
+        );
+    }
+}
+
+/// Lost messages alone must not bring deaths: each one would move requests and duties.
+#[test]
+fn loss_kills_nobody() {
+    for (count, seed) in [(2, 1), (4, 2), (16, 3), (64, 4)] {
+        let mut net = Net::settled(count, seed);
+        net.loss = 0.2;
+        net.run(120_000);
+        let deaths: usize = (0..count).map(|index| net.deaths(index)).sum();
+        assert_eq!(deaths, 0, "{count} nodes: {}", net.state());
+        net.loss = 0.0;
+        assert!(
+            net.until(20_000, Net::agree).is_some(),
+            "{count} nodes: {}",
+            net.state()
+        );
+    }
+}
+
+/// A whole data centre is lost at once: its deaths must not hold back refutations of the others.
+#[test]
+fn place_lost_kills_no_other() {
+    let mut net = Net::settled(120, 6);
+    net.loss = 0.05;
+    (0..120).step_by(6).for_each(|index| net.crash(index));
+    net.run(net.nodes[1].machine.suspicion() + 30 * 200);
+    net.loss = 0.0;
+    assert!(net.until(10_000, Net::agree).is_some(), "{}", net.state());
+    for index in net.serving() {
+        assert_eq!(net.deaths(index), 20, "node {index}: {}", net.state());
+    }
+}
--- /dev/null
+++ b/crates/cumin-member/tests/all/duties.rs
@@ -0,0 +1,48 @@
+use std::collections::BTreeMap;
+
+use crate::net::Net;
+
+/// Nodes with the same table must agree on the holders of a duty, and a leaving node has none.
+#[test]
+fn holders_agree_and_skip_leaving() {
+    let mut net = Net::settled(12, 1);
+    let holders = |net: &Net, by: usize, key: u32| -> Vec<String> {
+        let machine = &net.nodes[by].machine;
+        let found = machine.holders(&key.to_be_bytes(), 3, |member| {
+            member.region.as_str() == "waikato"
+        });
+        found.iter().map(|member| member.name.to_string()).collect()
+    };
+    for key in 0..50 {
+        let first = holders(&net, 0, key);
+        assert_eq!(first.len(), 3);
+        assert!((1..12).all(|by| holders(&net, by, key) == first));
+    }
+    net.leave(1);
+    net.run(3_000);
+    let mut moved = 0;
+    for key in 0..50 {
+        assert!(
+            (0..12).all(|by| !holders(&net, by, key).contains(&crate::net::name(1).to_string()))
+        );
+        moved += usize::from(holders(&net, 0, key) != holders(&net, 2, key));
+    }
+    assert_eq!(moved, 0);
+}
+
+/// A hash that favours nodes would overload them.
+#[test]
+fn duties_are_spread() {
+    let net = Net::settled(12, 2);
+    let mut held: BTreeMap<String, u32> = BTreeMap::new();
+    for key in 0..1_200_u32 {
+        let first = net.nodes[0]
+            .machine
+            .holders(&key.to_be_bytes(), 1, |_| true);
+        *held.entry(first[0].name.to_string()).or_default() += 1;
+    }
+    assert!(
+        held.values().all(|count| (60..150).contains(count)),
+        "{held:?}"
+    );
+}
--- /dev/null
+++ b/crates/cumin-member/tests/all/items.rs
@@ -0,0 +1,125 @@
+use cumin_member::{Item, ItemError};
+
+use crate::net::{Net, item};
+
+/// Work sent to a leaving endpoint after 3 s breaks an invariant of the design.
+#[test]
+fn item_reaches_all_within_three_seconds() {
+    for (count, seed) in [(4, 1), (16, 2), (64, 3), (128, 4), (330, 5)] {
+        let mut net = Net::settled(count, seed);
+        net.loss = 0.2;
+        for round in 0..5 {
+            let key = format!("endpoint/oven-{round}");
+            net.publish(count / 2, item(&key, 1));
+            let told = net.until(3_000, |net| net.all_have(&key, 1));
+            assert!(told.is_some(), "{count} nodes, round {round}");
+        }
+    }
+}
+
+/// Gossip that died out must be made good by comparison of tables.
+#[test]
+fn comparison_finds_what_gossip_missed() {
+    let mut net = Net::settled(16, 6);
+    net.loss = 0.95;
+    (0..200).for_each(|number| net.publish(number % 16, item(&format!("quota/{number}"), 1)));
+    net.run(20_000);
+    net.loss = 0.0;
+    let told = net.until(60_000, |net| {
+        (0..200).all(|number| net.all_have(&format!("quota/{number}"), 1))
+    });
+    assert!(told.is_some(), "{}", net.state());
+    assert!(net.until(20_000, Net::agree).is_some(), "{}", net.state());
+}
+
+/// The last version wins on every node, whoever published it and in whatever order it arrives.
+#[test]
+fn last_version_wins() {
+    let mut net = Net::settled(16, 7);
+    net.loss = 0.2;
+    for version in 1..=20 {
+        net.publish(
+            usize::try_from(version).expect("small") % 16,
+            item("revision", version * 1000),
+        );
+        net.run(150);
+        assert!(
+            net.until(5_000, |net| net.all_have("revision", version * 1000))
+                .is_some()
+        );
+    }
+    let same = Item {
+        value: serde_json::json!(1),
+        ..item("revision", 20_000)
+    };
+    let other = Item {
+        value: serde_json::json!(2),
+        ..same.clone()
+    };
+    net.publish(
+        0,
+        Item {
+            version: 20_001,
+            ..same
+        },
+    );
+    net.publish(
+        9,
+        Item {
+            version: 20_001,
+            ..other
+        },
+    );
+    assert!(
+        net.until(10_000, Net::agree).is_some(),
+        "same version, two values: {}",
+        net.state()
+    );
+}
+
+/// A copy under way at expiry must not start a second life.
+#[test]
+fn item_expires_everywhere() {
+    let mut net = Net::settled(16, 8);
+    net.loss = 0.2;
+    net.publish(
+        3,
+        Item {
+            ttl: 4_000,
+            ..item("eject/loaf", 1)
+        },
+    );
+    net.run(3_000);
+    assert!(net.all_have("eject/loaf", 1));
+    net.run(4_000);
+    let held = |net: &Net| {
+        net.nodes
+            .iter()
+            .any(|node| node.machine.item("eject/loaf").is_some())
+    };
+    assert!(!held(&net), "held after its life");
+    net.run(30_000);
+    assert!(!held(&net), "came back");
+}
+
+/// An item that fits no message would block the others, and an old one would undo a newer one.
+#[test]
+fn bad_items_are_rejected() {
+    let mut net = Net::settled(2, 9);
+    let now = net.time(0);
+    let machine = &mut net.nodes[0].machine;
+    let long = Item {
+        value: serde_json::json!("x".repeat(2_000)),
+        ..item("long", 1)
+    };
+    assert!(matches!(
+        machine.publish(long, now),
+        Err(ItemError::Large { .. })
+    ));
+    machine.publish(item("twice", 2), now).expect("new");
+    let error = machine.publish(item("twice", 1), now).expect_err("older");
+    assert_eq!(
+        error.to_string(),
+        "item \"twice\" version 1 is not above the held version 2"
+    );
+}
--- /dev/null
+++ b/crates/cumin-member/tests/all/seeds.rs
@@ -0,0 +1,68 @@
+use cumin_member::{Membership, Options, Seed, Status};
+use cumin_types::Millis;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::net::{Net, member};
+
+/// The platform's list lags: it must neither add who does not answer nor drop who does.
+#[test]
+fn lagging_list_neither_adds_nor_drops() {
+    let mut net = Net::settled(4, 1);
+    let now = net.time(0);
+    net.nodes[0]
+        .machine
+        .seeded([Seed::Member(member(9, 1))], now);
+    net.run(10_000);
+    assert!(net.agree(), "{}", net.state());
+    assert_eq!(net.holds(0, 9), None);
+}
+
+/// A node without seeds, or whose seeds all fail, must be able to serve alone.
+#[test]
+fn lone_node_is_trusted() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut machine = Membership::new(member(0, 5), Options::default());
+    assert!(!machine.trusted(Millis(0)));
+    machine.seeded([Seed::Address(member(1, 5).rpc)], Millis(0));
+    let effects = machine.tick(Millis(0), &mut rng);
+    assert!(!machine.trusted(Millis(0)), "a seed was not heard yet");
+    effects
+        .iter()
+        .for_each(|effect| machine.failed(effect.call(), Millis(10)));
+    assert!(machine.trusted(Millis(10)));
+    assert!(!machine.trusted(Millis(10_000)), "its timer is late");
+}
+
+/// An address that now belongs to another node must not keep the former one alive.
+#[test]
+fn address_taken_over_by_another_node() {
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let mut machine = Membership::new(member(0, 5), Options::default());
+    let mut other = Membership::new(member(1, 5), Options::default());
+    let mut heir = member(2, 6);
+    heir.rpc = other.me().rpc;
+    let mut heir = Membership::new(heir, Options::default());
+    machine.seeded([Seed::Address(other.me().rpc)], Millis(0));
+    for time in (0..20_000).step_by(50) {
+        for effect in machine.tick(Millis(time), &mut rng) {
+            let (call, message) = match effect {
+                cumin_member::Effect::Probe { call, message, .. }
+                | cumin_member::Effect::Push { call, message, .. }
+                | cumin_member::Effect::Relay { call, message, .. } => (call, message),
+            };
+            let by = if time < 5_000 { &mut other } else { &mut heir };
+            let answer = by.probed(message, Millis(time));
+            machine.answered(call, &answer, Millis(time));
+        }
+    }
+    let held = |index| {
+        machine
+            .record(&crate::net::name(index))
+            .map(|record| record.status)
+    };
+    assert_eq!(
+        (held(1), held(2)),
+        (Some(Status::Dead), Some(Status::Alive))
+    );
+}
