Drive cumin-member in the node

Replaces the full-mesh greeting, whose load grew with the number of nodes: probes, indirect probes, suspicion and push come from the machine; the platform's list and the settings only seed it. A member that is declared dead or has left passes its requests on to their second nodes at once, not only when a caller resumes. Claims carry the incarnation at process start, which refutations leave as it is. Recorder duties wait for a trusted list and read afresh after a pause.

--- a/crates/cumin-node/src/fleet/watch.rs
+++ b/crates/cumin-node/src/fleet/watch.rs
@@ -88,6 +88,7 @@
 
 /// Brings the router to what the list says.
 async fn apply(ctx: &Rc<Ctx>, seen: &mut Seen, instances: &[Instance]) {
+    seed(ctx, instances);
     let mut listed = BTreeSet::new();
     for instance in instances
         .iter()
@@ -132,6 +133,16 @@
     });
 }
 
+/// Names the listed nodes to the membership, beside the seeds of the settings.
+fn seed(ctx: &Rc<Ctx>, instances: &[Instance]) {
+    let nodes = instances
+        .iter()
+        .filter(|instance| instance.kind == Kind::Entry && instance.state == State::Live)
+        .filter_map(|instance| instance.address.as_ref()?.parse().ok());
+    let seeds = ctx.settings.seeds.iter().copied().chain(nodes);
+    ctx.members.seed(seeds, ctx.clock.now());
+}
+
 /// Adds an endpoint.
 async fn join(ctx: &Rc<Ctx>, name: &EndpointName, instance: &Instance) -> Option<Watched> {
     let address: SocketAddr = instance.address.as_ref()?.parse().ok()?;
@@ -184,7 +195,7 @@
     };
     let left = Millis(notice.left_ms.saturating_sub(notice.age_ms));
     if instance.kind == Kind::Entry {
-        if instance.address.as_deref() == Some(&ctx.members.me().caller.to_string()) {
+        if instance.address.as_deref() == Some(&ctx.members.me().rpc.to_string()) {
             ctx.decisions.note(
                 "drain",
                 &ctx.settings.name,
--- a/crates/cumin-node/src/member.rs
+++ b/crates/cumin-node/src/member.rs
@@ -1,149 +1,248 @@
-//! The other nodes, as this one sees them.
+//! The other nodes, as this one sees them: drives the membership machine over calls.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use cumin_member::{Effect, Event, Item, Membership, Message, Options, Seed};
 use cumin_state::batch::Author;
-use cumin_types::{Incarnation, NodeName, Place, RequestId, rank};
-use serde::{Deserialize, Serialize};
+use cumin_types::{Incarnation, Millis, NodeName, RequestId, rank};
+
+pub(crate) use cumin_member::Member;
 
 use crate::node::Ctx;
 use crate::peer::PeerClient;
+use crate::request;
 
-/// A node as others address it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    pub(crate) name: NodeName,
-    pub(crate) place: Place,
-    /// Where callers connect.
-    pub(crate) caller: SocketAddr,
-    /// Where nodes connect.
-    pub(crate) rpc: SocketAddr,
-    /// Which life of the node.
-    pub(crate) life: Incarnation,
-}
-
-impl AsRef<str> for Member {
-    fn as_ref(&self) -> &str {
-        self.name.as_str()
-    }
-}
-
-/// Period of greeting the other nodes.
-const PERIOD: Duration = Duration::from_millis(200);
-
-/// Greets every node and every seed for ever; a node that does not answer is dropped.
-pub(crate) async fn greet(ctx: Rc<Ctx>) {
-    loop {
-        let known: Vec<_> = ctx.members.others.borrow().values().cloned().collect();
-        let seeds = ctx.settings.seeds.iter().copied();
-        let mut targets: Vec<_> = seeds.chain(known.iter().map(|member| member.rpc)).collect();
-        targets.sort_unstable();
-        targets.dedup();
-        for target in targets
-            .into_iter()
-            .filter(|target| *target != ctx.members.me.rpc)
-        {
-            let Ok(client) = ctx.client.to(target) else {
-                continue;
-            };
-            match client
-                .hello(ctx.members.me.clone(), ctx.members.leaving())
-                .await
-            {
-                Ok(members) => {
-                    for member in members {
-                        if !ctx.members.others.borrow().contains_key(&member.name) {
-                            ctx.members.heard(member, false);
-                        }
-                    }
-                }
-                Err(_) => ctx
-                    .members
-                    .others
-                    .borrow_mut()
-                    .retain(|_, member| member.rpc != target),
-            }
-        }
-        actix_rt::time::sleep(PERIOD).await;
-    }
-}
+/// Ticks in a probe period: the machine's timeouts are shorter than the period.
+const TICKS: u32 = 4;
 
 /// Members by name, this node among them.
 pub(crate) struct Members {
-    me: Member,
-    leaving: Cell<bool>,
-    others: RefCell<BTreeMap<NodeName, Member>>,
+    machine: RefCell<Membership>,
+    started: Incarnation,
+    tick: Duration,
 }
 
 impl Members {
-    pub(crate) fn new(me: Member) -> Self {
+    pub(crate) fn new(me: Member, period: Millis) -> Self {
+        let started = me.incarnation;
+        let options = Options {
+            period: period.0,
+            ..Options::default()
+        };
+        let machine = RefCell::new(Membership::new(me, options));
         Self {
-            me,
-            leaving: Cell::new(false),
-            others: RefCell::default(),
+            machine,
+            started,
+            tick: period.duration() / TICKS,
         }
     }
 
-    pub(crate) fn me(&self) -> &Member {
-        &self.me
+    pub(crate) fn me(&self) -> Member {
+        self.machine.borrow().me().clone()
     }
 
-    pub(crate) fn leave(&self) {
-        self.leaving.set(true);
+    /// Returns this life of the node, as the author of records.
+    pub(crate) fn author(&self) -> Author {
+        Author {
+            node: self.machine.borrow().me().name.clone(),
+            life: self.started,
+        }
+    }
+
+    /// Announces that this node leaves.
+    pub(crate) fn leave(&self, ctx: &Rc<Ctx>) {
+        let effects = self.machine.borrow_mut().leave(ctx.clock.now());
+        perform(ctx, effects);
     }
 
     pub(crate) fn leaving(&self) -> bool {
-        self.leaving.get()
+        let machine = self.machine.borrow();
+        machine
+            .record(&machine.me().name)
+            .is_some_and(|record| !record.status.live())
     }
 
-    /// Takes in a node that spoke to this one; returns all live nodes.
-    pub(crate) fn heard(&self, member: Member, leaving: bool) -> Vec<Member> {
-        if leaving {
-            self.others.borrow_mut().remove(&member.name);
-        } else if member.name != self.me.name {
-            self.others.borrow_mut().insert(member.name.clone(), member);
-        }
-        self.entries()
+    /// Returns true when duties may follow from the list.
+    pub(crate) fn trusted(&self, now: Millis) -> bool {
+        self.machine.borrow().trusted(now)
     }
 
     /// Returns the live nodes, this one first unless it is leaving.
     pub(crate) fn entries(&self) -> Vec<Member> {
-        let me = (!self.leaving.get()).then(|| self.me.clone());
-        me.into_iter()
-            .chain(self.others.borrow().values().cloned())
-            .collect()
+        self.machine.borrow().live().cloned().collect()
     }
 
-    /// Returns true while that incarnation of a node lives, as far as this node knows.
+    /// Returns the live node that has a duty.
+    pub(crate) fn holder(&self, duty: &str) -> Option<Member> {
+        let machine = self.machine.borrow();
+        machine
+            .holders(duty.as_bytes(), 1, |_| true)
+            .first()
+            .map(|&member| member.clone())
+    }
+
+    /// Returns true until that life of a node is known to have ended; a leaving node still lives.
     pub(crate) fn alive(&self, author: &Author) -> bool {
-        let others = self.others.borrow();
-        let member = if author.node == self.me.name {
-            Some(&self.me)
-        } else {
-            others.get(&author.node)
-        };
-        member.is_some_and(|member| member.life == author.life)
+        let machine = self.machine.borrow();
+        let record = machine.record(&author.node);
+        record.is_some_and(|record| record.started == author.life && !record.status.gone())
     }
 
-    /// Returns the live node of that name, other than this one.
+    /// Returns another node that still answers.
     pub(crate) fn named(&self, name: &NodeName) -> Option<Member> {
-        self.others.borrow().get(name).cloned()
+        let machine = self.machine.borrow();
+        if machine.me().name == *name {
+            return None;
+        }
+        let record = machine.record(name).filter(|record| !record.status.gone());
+        record.map(|record| record.member.clone())
     }
 
     /// Returns the live nodes in the order in which they are asked to hold a request: those in
     /// other places first.
     pub(crate) fn order(&self, id: RequestId) -> Vec<Member> {
+        let place = self.machine.borrow().me().place.clone();
         let mut order = self.everyone(id);
-        order.sort_by_key(|member| member.place == self.me.place);
+        order.sort_by_key(|member| member.place == place);
         order
     }
 
     /// Returns the other live nodes in rendezvous order for a request.
     pub(crate) fn everyone(&self, id: RequestId) -> Vec<Member> {
-        rank(id.0.as_bytes(), self.others.borrow().values().cloned())
+        let machine = self.machine.borrow();
+        let me = &machine.me().name;
+        rank(
+            id.0.as_bytes(),
+            machine.live().filter(|member| member.name != *me).cloned(),
+        )
+    }
+
+    /// Tells all nodes a value; the last version of a key wins.
+    pub(crate) fn publish(&self, item: Item, now: Millis) {
+        if let Err(error) = self.machine.borrow_mut().publish(item, now) {
+            log::debug!("event=item_not_published error={error:?}");
+        }
+    }
+
+    /// Returns the values whose key starts with `prefix`.
+    pub(crate) fn items(&self, prefix: &str) -> Vec<Item> {
+        self.machine.borrow().items(prefix).cloned().collect()
+    }
+
+    /// Names addresses at which other nodes may be found.
+    pub(crate) fn seed(&self, addresses: impl IntoIterator<Item = SocketAddr>, now: Millis) {
+        let seeds = addresses.into_iter().map(Seed::Address);
+        self.machine.borrow_mut().seeded(seeds, now);
+    }
+
+    /// Takes a probe or push of another node.
+    pub(crate) fn probed(&self, ctx: &Rc<Ctx>, message: Message) -> Message {
+        let answer = self.machine.borrow_mut().probed(message, ctx.clock.now());
+        settle(ctx);
+        answer
+    }
+
+    /// Learns from a message that this node relays.
+    pub(crate) fn relayed(&self, ctx: &Rc<Ctx>, message: &Message) {
+        self.machine
+            .borrow_mut()
+            .relay_asked(message, ctx.clock.now());
+        settle(ctx);
+    }
+
+    /// Probes for ever.
+    pub(crate) async fn drive(ctx: Rc<Ctx>) {
+        ctx.members
+            .seed(ctx.settings.seeds.iter().copied(), ctx.clock.now());
+        loop {
+            let now = ctx.clock.now();
+            let effects = ctx.members.machine.borrow_mut().tick(now, &mut rand::rng());
+            perform(&ctx, effects);
+            settle(&ctx);
+            actix_rt::time::sleep(ctx.members.tick).await;
+        }
+    }
+}
+
+/// Sends calls; each answer or failure returns to the machine.
+fn perform(ctx: &Rc<Ctx>, effects: Vec<Effect>) {
+    for effect in effects {
+        let number = effect.call();
+        let ctx = Rc::clone(ctx);
+        let tasks = ctx.tasks.clone();
+        tasks.spawn(async move {
+            let answer = send(&ctx, effect).await;
+            let now = ctx.clock.now();
+            let effects = {
+                let mut machine = ctx.members.machine.borrow_mut();
+                match answer {
+                    Some(message) => machine.answered(number, &message, now),
+                    None => {
+                        machine.failed(number, now);
+                        Vec::new()
+                    }
+                }
+            };
+            perform(&ctx, effects);
+            settle(&ctx);
+        });
+    }
+}
+
+async fn send(ctx: &Ctx, effect: Effect) -> Option<Message> {
+    match effect {
+        Effect::Probe { to, message, .. } => ctx.client.to(to).ok()?.probe(message).await.ok(),
+        Effect::Push { to, message, .. } => ctx.client.to(to).ok()?.push(message).await.ok(),
+        Effect::Relay {
+            via,
+            address,
+            message,
+            ..
+        } => ctx
+            .client
+            .to(via)
+            .ok()?
+            .relay(address, message)
+            .await
+            .ok()?,
+    }
+}
+
+/// Acts on what the machine reports.
+fn settle(ctx: &Rc<Ctx>) {
+    let events = ctx.members.machine.borrow_mut().events();
+    for event in events {
+        match &event {
+            Event::Item { .. } => log::debug!("{event}"),
+            _ => log::info!("{event}"),
+        }
+        match event {
+            Event::Dead { member, .. } | Event::Left { member, .. } => inherit(ctx, &member),
+            Event::Paused { .. } => ctx.recorders.resume(),
+            _ => {}
+        }
+    }
+}
+
+/// Goes on with the requests that a node left to this one.
+fn inherit(ctx: &Rc<Ctx>, owner: &Member) {
+    let ids = ctx.holder.borrow().owned_by(&owner.name);
+    for id in ids {
+        let given = ctx
+            .holder
+            .borrow_mut()
+            .take(id, &ctx.settings.name, ctx.clock.now());
+        let Some(given) = given else {
+            continue;
+        };
+        let ctx = Rc::clone(ctx);
+        let tasks = ctx.tasks.clone();
+        tasks.spawn(async move {
+            ctx.metrics.taken.inc();
+            request::take_over(&ctx, given, "owner_dead").await;
+        });
     }
 }
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -9,7 +9,6 @@
 use cumin_config::{Document, Settings};
 use cumin_http::Server;
 use cumin_request::{Holder, HolderOptions};
-use cumin_state::batch::Author;
 use cumin_types::{Incarnation, Millis};
 use derive_more::{Display, Error};
 use tokio::sync::Notify;
@@ -19,9 +18,9 @@
 use crate::explain::Decisions;
 use crate::fleet::Fleet;
 use crate::http;
-use crate::member::{self, Member, Members};
+use crate::member::{Member, Members};
 use crate::metrics::Metrics;
-use crate::peer::{self, Call, Client, Found, Inbox};
+use crate::peer::{self, Call, Client, Found, Inbox, PeerClient};
 use crate::record::{Recorders, Records};
 use crate::request::{self, Replicas, Table};
 use crate::task::Tasks;
@@ -139,15 +138,14 @@
         let me = Member {
             name: settings.name.clone(),
             place: settings.place.clone(),
+            region: settings.region.clone(),
             caller: settings.advertise.unwrap_or(bound),
             rpc: settings.peer_advertise.unwrap_or(peers.address()),
             // A restarted node has a higher one than its former self.
-            life: Incarnation(wall().0),
-        };
-        let author = Author {
-            node: me.name.clone(),
-            life: me.life,
+            incarnation: Incarnation(wall().0),
         };
+        let members = Members::new(me, settings.probe_period_ms);
+        let author = members.author();
         let holder = HolderOptions {
             requests: settings.limits.requests_held,
             ..HolderOptions::default()
@@ -160,7 +158,7 @@
             tasks: Tasks::default(),
             clock: Clock::start(),
             document: RefCell::new(Rc::new(document)),
-            members: Members::new(me),
+            members,
             table: Table::default(),
             holder: RefCell::new(Holder::new(holder)),
             replicas: Replicas::default(),
@@ -177,7 +175,7 @@
         let callers = caller::serve(&ctx, listener).map_err(bind(bound))?;
         ctx.tasks.spawn(answer_peers(Rc::clone(&ctx), inbox));
         ctx.tasks.spawn(Fleet::watch(Rc::clone(&ctx)));
-        ctx.tasks.spawn(member::greet(Rc::clone(&ctx)));
+        ctx.tasks.spawn(Members::drive(Rc::clone(&ctx)));
         ctx.tasks.spawn(Recorders::drive(Rc::clone(&ctx)));
         ctx.tasks.spawn(tidy(Rc::clone(&ctx)));
         log::info!(
@@ -244,7 +242,7 @@
             ctx.table.len()
         );
         ctx.ready.set(false);
-        ctx.members.leave();
+        ctx.members.leave(ctx);
         let drain = ctx.settings.drain_ms.duration();
         let idle = async {
             ctx.table.idle().await;
@@ -282,8 +280,20 @@
     while let Some(call) = inbox.recv().await {
         let now = ctx.clock.now();
         match call {
-            Call::Hello(member, leaving, reply) => {
-                let _ = reply.send(ctx.members.heard(member, leaving));
+            Call::Probe(message, reply) => {
+                let _ = reply.send(ctx.members.probed(&ctx, *message));
+            }
+            Call::Relay(address, message, reply) => {
+                ctx.members.relayed(&ctx, &message);
+                let ctx = Rc::clone(&ctx);
+                let tasks = ctx.tasks.clone();
+                tasks.spawn(async move {
+                    let answer = match ctx.client.to(address) {
+                        Ok(client) => client.probe(*message).await.ok(),
+                        Err(_) => None,
+                    };
+                    let _ = reply.send(answer);
+                });
             }
             Call::Hold(given, reply) => {
                 let _ = reply.send(ctx.holder.borrow_mut().hold(*given, now));
--- a/crates/cumin-node/src/peer/rpc.rs
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -1,7 +1,9 @@
 //! The methods that nodes offer each other.
 
-use crate::member::Member;
 use crate::record::Submission;
+use std::net::SocketAddr;
+
+use cumin_member::Message;
 use cumin_request::{Ack, Given, Progress, Refused};
 use cumin_state::recorder::Verdict;
 use cumin_types::{Epoch, NodeName, Organisation, Position, RequestId};
@@ -27,9 +29,17 @@
 /// Methods between nodes.
 #[rpc(server, client)]
 pub trait Peer {
-    /// Names the sender and returns the nodes that the receiver knows, itself among them.
-    #[method(name = "member_hello")]
-    async fn hello(&self, member: Member, leaving: bool) -> RpcResult<Vec<Member>>;
+    /// Probes the node; both sides learn from the message and its answer.
+    #[method(name = "member_probe")]
+    async fn probe(&self, message: Message) -> RpcResult<Message>;
+
+    /// Tells the node of a change that can't wait for a probe.
+    #[method(name = "member_push")]
+    async fn push(&self, message: Message) -> RpcResult<Message>;
+
+    /// Has the node probe another one; none when that one does not answer.
+    #[method(name = "member_relay")]
+    async fn relay(&self, address: SocketAddr, message: Message) -> RpcResult<Option<Message>>;
 
     /// Asks the node to be the second of a request.
     #[method(name = "request_hold")]
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -7,6 +7,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use cumin_http::{Handler, Options, Server};
+use cumin_member::Message;
 use cumin_request::{Ack, Given, Progress, Refused};
 use cumin_types::{NodeName, RequestId};
 use futures_util::FutureExt;
@@ -18,7 +19,6 @@
 
 use super::rpc::{Found, PeerServer};
 use crate::caller::read_body;
-use crate::member::Member;
 use crate::record::Submission;
 use cumin_state::recorder::Verdict;
 
@@ -31,7 +31,8 @@
 
 /// A call from another node, answered by the node's own task.
 pub(crate) enum Call {
-    Hello(Member, bool, Reply<Vec<Member>>),
+    Probe(Box<Message>, Reply<Message>),
+    Relay(SocketAddr, Box<Message>, Reply<Option<Message>>),
     Hold(Box<Given>, Reply<Result<(), Refused>>),
     Progress(Vec<Progress>, Reply<Vec<Ack>>),
     Find(RequestId, Reply<Option<Found>>),
@@ -59,8 +60,18 @@
 
 #[async_trait]
 impl PeerServer for Forward {
-    async fn hello(&self, member: Member, leaving: bool) -> RpcResult<Vec<Member>> {
-        self.ask(|reply| Call::Hello(member, leaving, reply)).await
+    async fn probe(&self, message: Message) -> RpcResult<Message> {
+        self.ask(|reply| Call::Probe(Box::new(message), reply))
+            .await
+    }
+
+    async fn push(&self, message: Message) -> RpcResult<Message> {
+        self.probe(message).await
+    }
+
+    async fn relay(&self, address: SocketAddr, message: Message) -> RpcResult<Option<Message>> {
+        self.ask(|reply| Call::Relay(address, Box::new(message), reply))
+            .await
     }
 
     async fn hold(&self, given: Given) -> RpcResult<Result<(), Refused>> {
--- a/crates/cumin-node/src/record/shard.rs
+++ b/crates/cumin-node/src/record/shard.rs
@@ -9,7 +9,7 @@
 use cumin_state::pace::Pace;
 use cumin_state::recorder::{Ask, Effect, Input, Options, Recorder, Ticket, Unsent, Verdict};
 use cumin_state::writer;
-use cumin_types::{Millis, rank};
+use cumin_types::Millis;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot};
 
@@ -44,10 +44,7 @@
 
 /// Returns the node that records a shard, as this node sees it.
 pub(crate) fn recorder_of(ctx: &Ctx, shard: u32) -> Option<Member> {
-    let key = format!("record/{shard}");
-    rank(key.as_bytes(), ctx.members.entries())
-        .into_iter()
-        .next()
+    ctx.members.holder(&format!("record/{shard}"))
 }
 
 impl Recorders {
@@ -80,6 +77,14 @@
         answer.await.unwrap_or(Verdict::Uncertain)
     }
 
+    /// After a pause of this node: nothing is answered before a fresh read.
+    pub(crate) fn resume(&self) {
+        for recorder in self.shards.borrow_mut().values_mut() {
+            recorder.resume();
+        }
+        self.due.notify_one();
+    }
+
     /// Drives the recorders for ever.
     pub(crate) async fn drive(ctx: Rc<Ctx>) {
         loop {
@@ -96,6 +101,9 @@
 
     /// Takes and loses duties as the member list says.
     fn follow_members(&self, ctx: &Ctx) {
+        if !ctx.members.trusted(ctx.clock.now()) {
+            return;
+        }
         let mine =
             |shard| recorder_of(ctx, shard).is_some_and(|member| member.name == ctx.settings.name);
         let mut shards = self.shards.borrow_mut();
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -205,7 +205,7 @@
             market: Market::Reclaimable,
             price: 0.0,
             state: State::Live,
-            address: Some(node.address().to_string()),
+            address: Some(node.peer_address().to_string()),
         });
         self.nodes.borrow_mut().push(Some(node));
         Ok(number)
--- a/crates/cumin-wire/src/cloud.rs
+++ b/crates/cumin-wire/src/cloud.rs
@@ -85,7 +85,7 @@
     pub price: f64,
     /// State.
     pub state: State,
-    /// `ip:port` of what runs on it, once live.
+    /// `ip:port` of what runs on it, once live; of an entry, that for calls between nodes.
     pub address: Option<String>,
 }
 
