Settle an expired item once when the log refuses its append

Cause: writer_fuzz found an item whose deadline passed while its append was at the log: it was told Uncertain, and NotSent after the log refused the append, and could travel again in a new batch.

--- a/crates/cumin-state/src/writer.rs
+++ b/crates/cumin-state/src/writer.rs
@@ -409,7 +409,8 @@
         let (expired, kept): (Vec<Item>, Vec<Item>) = std::mem::take(&mut flight.items)
             .into_iter()
             .partition(|item| item.deadline <= now);
-        for item in expired {
+        // An item that was told `Uncertain` while the send was at the log has its fate.
+        for item in expired.into_iter().filter(|item| !item.told) {
             self.out.push(Effect::Settled {
                 ticket: item.ticket,
                 fate: Fate::NotSent,
--- /dev/null
+++ b/crates/cumin-state/tests/all/net.rs
@@ -0,0 +1,208 @@
+//! Peers that each fold one stream and append to it, over a faulty path to the log.
+
+use cumin_state::batch::Stream;
+use cumin_state::fold::{Fold, State};
+use cumin_state::pace::Pace;
+use cumin_state::writer::{Effect, Fate as Settled, Input, Options, Ticket, Writer};
+use cumin_types::{LogOffset, Millis, RecordId, WallMillis};
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+
+use crate::claim_world::Fate;
+use crate::model::{Log, author, rng};
+
+/// A peer's own clocks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock {
+    pub now: Millis,
+    pub wall: WallMillis,
+}
+
+pub struct Peer<S> {
+    pub fold: Fold<S>,
+    pub writer: Writer,
+    pub life: u64,
+    pub paused: bool,
+    pub fates: Vec<(Ticket, Settled)>,
+}
+
+pub enum Wire {
+    Append {
+        peer: usize,
+        life: u64,
+        batch: RecordId,
+        attempt: u64,
+        body: Value,
+    },
+    Read {
+        peer: usize,
+        life: u64,
+        from: LogOffset,
+        limit: u32,
+    },
+}
+
+pub struct Net<S> {
+    pub log: Log,
+    pub stream: Stream,
+    pub peers: Vec<Peer<S>>,
+    pub wires: Vec<Wire>,
+    pub late: Vec<Value>,
+    pub rng: ChaCha8Rng,
+    state: S,
+}
+
+impl<S: State> Net<S> {
+    pub fn new(stream: Stream, peers: usize, state: S) -> Self {
+        let mut net = Self {
+            log: Log::default(),
+            stream,
+            peers: Vec::new(),
+            wires: Vec::new(),
+            late: Vec::new(),
+            rng: rng(3),
+            state,
+        };
+        for peer in 0..peers {
+            let new = net.peer(peer, 1);
+            net.peers.push(new);
+        }
+        net
+    }
+
+    fn peer(&self, peer: usize, life: u64) -> Peer<S> {
+        let options = Options {
+            page: 3,
+            records: 4,
+            waiting: 20,
+            ..Options::default()
+        };
+        Peer {
+            fold: Fold::new(self.state.clone()),
+            writer: Writer::new(options, self.stream, author(peer as u64, life)),
+            life,
+            paused: false,
+            fates: Vec::new(),
+        }
+    }
+
+    pub fn restart(&mut self, peer: usize) {
+        self.peers[peer] = self.peer(peer, self.peers[peer].life + 1);
+    }
+
+    /// Folds one page; returns whether the fold is current.
+    pub fn read(&mut self, peer: usize, limit: u32) -> bool {
+        let peer = &mut self.peers[peer];
+        let page = self.log.read(self.stream, peer.fold.wants(), limit);
+        let current = peer.fold.apply(&page).current;
+        peer.writer.read_to(peer.fold.position());
+        current
+    }
+
+    pub fn poll(&mut self, index: usize, clock: Clock) {
+        let peer = &mut self.peers[index];
+        if peer.paused {
+            return;
+        }
+        let effects =
+            peer.writer
+                .poll(clock.now, clock.wall, &mut Pace::unlimited(), &mut self.rng);
+        let life = peer.life;
+        for effect in effects {
+            match effect {
+                Effect::Append {
+                    batch,
+                    attempt,
+                    body,
+                    ..
+                } => {
+                    self.wires.push(Wire::Append {
+                        peer: index,
+                        life,
+                        batch,
+                        attempt,
+                        body,
+                    });
+                }
+                Effect::Read { from, limit, .. } => {
+                    self.wires.push(Wire::Read {
+                        peer: index,
+                        life,
+                        from,
+                        limit,
+                    });
+                }
+                Effect::Settled { ticket, fate } => peer.fates.push((ticket, fate)),
+            }
+        }
+    }
+
+    pub fn land(&mut self, index: usize, at: WallMillis) {
+        if !self.late.is_empty() {
+            let body = self.late.remove(index % self.late.len());
+            self.log.append(self.stream, body, at);
+        }
+    }
+
+    /// Delivers one message to the log and its answer, at the log's time `at`.
+    pub fn deliver(
+        &mut self,
+        index: usize,
+        fate: Fate,
+        at: WallMillis,
+        clock: impl Fn(usize) -> Clock,
+    ) {
+        if self.wires.is_empty() {
+            return;
+        }
+        match self.wires.remove(index % self.wires.len()) {
+            Wire::Append {
+                peer,
+                life,
+                batch,
+                attempt,
+                body,
+            } => {
+                let input = match fate {
+                    Fate::Served => {
+                        let offset = self.log.append(self.stream, body, at);
+                        Input::Appended { batch, offset }
+                    }
+                    Fate::Refused => Input::Refused { batch, attempt },
+                    Fate::Dropped => Input::Lost { batch, attempt },
+                    Fate::AnswerLost => {
+                        self.log.append(self.stream, body, at);
+                        Input::Lost { batch, attempt }
+                    }
+                    Fate::Late => {
+                        self.late.push(body);
+                        Input::Lost { batch, attempt }
+                    }
+                };
+                self.input(peer, life, input, clock(peer));
+            }
+            Wire::Read {
+                peer,
+                life,
+                from,
+                limit,
+            } => {
+                let page = self.log.read(self.stream, from, limit);
+                let served = matches!(fate, Fate::Served);
+                let input = if served {
+                    Input::Read { from, page: &page }
+                } else {
+                    Input::ReadFailed
+                };
+                self.input(peer, life, input, clock(peer));
+            }
+        }
+    }
+
+    fn input(&mut self, index: usize, life: u64, input: Input<'_>, clock: Clock) {
+        let peer = &mut self.peers[index];
+        if peer.life == life {
+            peer.writer.on(clock.now, input, &mut self.rng);
+        }
+    }
+}
