--- /dev/null
+++ b/crates/cumin-state/tests/all/lease_fuzz.rs
@@ -0,0 +1,310 @@
+//! Guards against two holders of one lease that both act, and against orders whose tokens
+//! fall, with clocks that drift, processes that pause and records that land late.
+
+use cumin_state::batch::{Stream, encode};
+use cumin_state::lease::{Holder, Leases, Observer, Options};
+use cumin_types::{FencingToken, Millis, WallMillis};
+use proptest::prelude::*;
+use proptest::strategy::BoxedStrategy;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use crate::claim_fuzz::fate;
+use crate::claim_world::Fate;
+use crate::model::{START, author, fuzz_config};
+use crate::net::{Clock, Net};
+
+const PEERS: usize = 3;
+const LEASE: &str = "planner/oven-desk/waikato";
+/// Parts in a thousand by which each peer's clocks run fast.
+const DRIFT: [i64; PEERS] = [-4, 0, 4];
+
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    Advance {
+        ms: u64,
+    },
+    Read {
+        peer: usize,
+    },
+    Deliver {
+        index: usize,
+        fate: Fate,
+    },
+    Land {
+        index: usize,
+    },
+    Order {
+        peer: usize,
+    },
+    /// A pause; with `frozen` the monotonic clock stands still meanwhile.
+    Pause {
+        peer: usize,
+        on: bool,
+        frozen: bool,
+    },
+    Restart {
+        peer: usize,
+    },
+    Release {
+        peer: usize,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Order {
+    at: u64,
+    peer: usize,
+    life: u64,
+    token: FencingToken,
+}
+
+/// The plain list of moves.
+struct Plain;
+
+impl ReferenceStateMachine for Plain {
+    type State = Vec<Move>;
+    type Transition = Move;
+
+    fn init_state() -> BoxedStrategy<Vec<Move>> {
+        Just(Vec::new()).boxed()
+    }
+
+    fn transitions(_: &Vec<Move>) -> BoxedStrategy<Move> {
+        let peer = 0..PEERS;
+        let ms = prop_oneof![1..100u64, 500..3_000u64, 8_000..16_000u64];
+        prop_oneof![
+            10 => ms.prop_map(|ms| Move::Advance { ms }),
+            8 => peer.clone().prop_map(|peer| Move::Read { peer }),
+            8 => (0..4usize, fate()).prop_map(|(index, fate)| Move::Deliver { index, fate }),
+            1 => (0..4usize).prop_map(|index| Move::Land { index }),
+            10 => peer.clone().prop_map(|peer| Move::Order { peer }),
+            2 => (peer.clone(), any::<bool>(), any::<bool>())
+                .prop_map(|(peer, on, frozen)| Move::Pause { peer, on, frozen }),
+            1 => peer.clone().prop_map(|peer| Move::Restart { peer }),
+            1 => peer.prop_map(|peer| Move::Release { peer }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut moves: Vec<Move>, step: &Move) -> Vec<Move> {
+        moves.push(*step);
+        moves
+    }
+}
+
+struct System {
+    net: Net<Leases>,
+    holders: Vec<Holder>,
+    observers: Vec<Observer>,
+    /// True time.
+    now: u64,
+    /// Since when the peer's monotonic clock stands still, and how long it did so before.
+    frozen: [Option<u64>; PEERS],
+    hidden: [u64; PEERS],
+    orders: Vec<Order>,
+}
+
+fn options() -> Options {
+    Options::default()
+}
+
+impl System {
+    fn clock(&self, peer: usize) -> Clock {
+        let ran = |time: u64| {
+            let extra = i64::try_from(time).expect("small") * DRIFT[peer] / 1_000;
+            time.saturating_add_signed(extra)
+        };
+        let monotonic = self.frozen[peer].unwrap_or(self.now) - self.hidden[peer];
+        // Wall clocks differ by a constant too.
+        let wall = START + ran(self.now) + 700 * peer as u64;
+        Clock {
+            now: Millis(ran(monotonic)),
+            wall: WallMillis(wall),
+        }
+    }
+
+    fn step(&mut self, step: Move) {
+        let at = WallMillis(START + self.now);
+        match step {
+            Move::Advance { ms } => self.now += ms,
+            Move::Read { peer } if !self.net.peers[peer].paused => self.read(peer),
+            Move::Deliver { index, fate } => {
+                let clocks: Vec<Clock> = (0..PEERS).map(|peer| self.clock(peer)).collect();
+                self.net.deliver(index, fate, at, |peer| clocks[peer]);
+            }
+            Move::Land { index } => self.net.land(index, at),
+            Move::Order { peer } if !self.net.peers[peer].paused => self.order(peer),
+            Move::Pause { peer, on, frozen } => {
+                if let Some(since) = self.frozen[peer].take() {
+                    self.hidden[peer] += self.now - since;
+                }
+                self.net.peers[peer].paused = on;
+                self.frozen[peer] = (on && frozen).then_some(self.now);
+            }
+            Move::Restart { peer } => {
+                self.step(Move::Pause {
+                    peer,
+                    on: false,
+                    frozen: false,
+                });
+                self.net.restart(peer);
+                self.holders[peer] = holder(peer, self.net.peers[peer].life);
+                self.observers[peer] = Observer::default();
+            }
+            Move::Release { peer } if !self.net.peers[peer].paused => {
+                // A holder gives the lease back only when its last order has ended.
+                let busy = self
+                    .orders
+                    .iter()
+                    .any(|order| order.peer == peer && order.at + options().order > self.now);
+                let clock = self.clock(peer);
+                if !busy
+                    && let Some(record) = self.holders[peer].release(clock.wall, &mut self.net.rng)
+                {
+                    self.submit(peer, clock, encode(&record));
+                }
+            }
+            Move::Read { .. } | Move::Order { .. } | Move::Release { .. } => {}
+        }
+        self.poll();
+    }
+
+    fn submit(&mut self, peer: usize, clock: Clock, record: serde_json::Value) {
+        let deadline = clock.now.plus(options().ttl);
+        let _ = self.net.peers[peer]
+            .writer
+            .submit(clock.now, vec![record], deadline);
+    }
+
+    fn read(&mut self, peer: usize) {
+        let current = self.net.read(peer, 4);
+        let clock = self.clock(peer);
+        let fold = &self.net.peers[peer].fold;
+        self.observers[peer].note(clock.now, fold.state(), current);
+        self.holders[peer].folded(fold.state());
+    }
+
+    fn poll(&mut self) {
+        for peer in 0..PEERS {
+            if self.net.peers[peer].paused {
+                continue;
+            }
+            let clock = self.clock(peer);
+            let state = self.net.peers[peer].fold.state();
+            let record = self.holders[peer].poll(
+                clock.now,
+                clock.wall,
+                state,
+                &self.observers[peer],
+                &mut self.net.rng,
+            );
+            if let Some(record) = record {
+                self.submit(peer, clock, encode(&record));
+            }
+            self.net.poll(peer, clock);
+        }
+    }
+
+    fn order(&mut self, peer: usize) {
+        let clock = self.clock(peer);
+        let Ok(token) = self.holders[peer].may_act(clock.now, clock.wall) else {
+            return;
+        };
+        let new = Order {
+            at: self.now,
+            peer,
+            life: self.net.peers[peer].life,
+            token,
+        };
+        for old in &self.orders {
+            let same = old.peer == new.peer && old.life == new.life;
+            assert!(
+                same || old.at + options().order <= new.at,
+                "{old:?} overlaps {new:?}"
+            );
+            assert!(
+                old.token <= new.token,
+                "{new:?} has an older token than {old:?}"
+            );
+        }
+        self.orders.push(new);
+    }
+}
+
+fn holder(peer: usize, life: u64) -> Holder {
+    Holder::new(options(), LEASE, author(peer as u64, life))
+}
+
+struct Clocks;
+
+impl StateMachineTest for Clocks {
+    type SystemUnderTest = System;
+    type Reference = Plain;
+
+    fn init_test(_: &Vec<Move>) -> System {
+        System {
+            net: Net::new(Stream::Lease, PEERS, Leases::default()),
+            holders: (0..PEERS).map(|peer| holder(peer, 1)).collect(),
+            observers: vec![Observer::default(); PEERS],
+            now: 0,
+            frozen: [None; PEERS],
+            hidden: [0; PEERS],
+            orders: Vec::new(),
+        }
+    }
+
+    fn apply(mut system: System, _: &Vec<Move>, step: Move) -> System {
+        system.step(step);
+        system
+    }
+
+    fn teardown(mut system: System, _: Vec<Move>) {
+        for peer in 0..PEERS {
+            system.step(Move::Pause {
+                peer,
+                on: false,
+                frozen: false,
+            });
+        }
+        while !system.net.late.is_empty() {
+            system.step(Move::Land { index: 0 });
+        }
+        let before = system.orders.len();
+        for _ in 0..120 {
+            for _ in 0..system.net.wires.len() {
+                system.step(Move::Deliver {
+                    index: 0,
+                    fate: Fate::Served,
+                });
+            }
+            for peer in 0..PEERS {
+                system.step(Move::Read { peer });
+                system.step(Move::Order { peer });
+            }
+            system.step(Move::Advance { ms: 500 });
+        }
+        assert!(
+            system.orders.len() > before,
+            "nobody acts after the faults ended"
+        );
+        let next = system.net.log.next(Stream::Lease);
+        let replay = system
+            .net
+            .log
+            .replay(Stream::Lease, Leases::default(), next);
+        for peer in 0..PEERS {
+            while !system.net.read(peer, 4) {}
+            assert_eq!(
+                system.net.peers[peer].fold, replay,
+                "two folds of one prefix differ"
+            );
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(fuzz_config())]
+
+    #[test]
+    fn holders_never_overlap(sequential 20..200 => Clocks);
+}
--- a/crates/cumin-state/tests/all/main.rs
+++ b/crates/cumin-state/tests/all/main.rs
@@ -3,7 +3,9 @@
 mod append;
 mod claim_fuzz;
 mod claim_world;
+mod config_fuzz;
 mod fold_fuzz;
+mod lease_fuzz;
 mod model;
 mod net;
 mod writer_fuzz;
