Let a server drop calls whose sender is gone

By default actix-http finishes an answer although the sender closed its side, so a stream that has nothing to write never learns that its reader left. The new option half_closed (true as before) can turn that off.

Conclusion: no change for servers that keep the default.

--- a/crates/cumin-http/src/lib.rs
+++ b/crates/cumin-http/src/lib.rs
@@ -31,6 +31,9 @@
     pub head: Duration,
     /// Time that an idle connection is kept.
     pub idle: Duration,
+    /// True to finish an answer although the sender closed its side; false to drop its handler
+    /// and body then, which is how a stream learns that its reader is gone.
+    pub half_closed: bool,
 }
 
 impl Default for Options {
@@ -39,6 +42,7 @@
             connections: 4096,
             head: Duration::from_secs(10),
             idle: Duration::from_secs(30),
+            half_closed: true,
         }
     }
 }
@@ -136,6 +140,7 @@
 async fn accept(listener: TcpListener, options: Options, handler: Handler, open: Rc<Open>) {
     let factory = HttpService::build()
         .client_request_timeout(options.head)
+        .h1_allow_half_closed(options.half_closed)
         .keep_alive(KeepAlive::Timeout(options.idle))
         .h1(fn_service(move |request: Request| {
             let answer = handler(request);
