Free an engine's slot when its reader goes away

A stalled or queued attempt whose caller had closed the connection kept its slot, since the server noticed only at a write. The stand-ins now drop such calls; effects that must outlive their caller (log, cloud, plain service) run in tasks of their own as before.

Conclusion: a node that only closes a connection cancels the attempt.

--- a/crates/cumin-standin/src/host.rs
+++ b/crates/cumin-standin/src/host.rs
@@ -29,6 +29,14 @@
 /// Loopback, with a port that the system chooses.
 pub const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// A caller that goes away ends its call at once; effects that must outlive it run in tasks.
+fn server_options() -> Options {
+    Options {
+        half_closed: false,
+        ..Options::default()
+    }
+}
+
 /// Answers the calls of one stand-in.
 pub trait Answer: 'static {
     /// Answers one call whose body was read.
@@ -57,7 +65,7 @@
             }
             .boxed_local()
         });
-        let server = Server::bind(address, Options::default(), Rc::clone(&handler))?;
+        let server = Server::bind(address, server_options(), Rc::clone(&handler))?;
         Ok(Rc::new(Self {
             address: server.address(),
             server: RefCell::new(server),
@@ -83,7 +91,7 @@
         // The aborted accept task drops the listener when the system next polls it.
         actix_rt::task::yield_now().await;
         actix_rt::time::sleep(Duration::from_millis(1)).await;
-        let server = Server::bind(self.address, Options::default(), Rc::clone(&self.handler))?;
+        let server = Server::bind(self.address, server_options(), Rc::clone(&self.handler))?;
         *self.server.borrow_mut() = server;
         Ok(())
     }
--- a/crates/cumin-standin/src/log.rs
+++ b/crates/cumin-standin/src/log.rs
@@ -185,7 +185,7 @@
         self.shared.push(stream, body)
     }
 
-    /// Closes the listener and all connections at once.
+    /// Closes the listener and all connections at once; a slow append still takes effect.
     pub fn crash(&self) {
         self.host.crash();
     }
