Wire admission, retries, ejection and crash quarantine into the node

Requests pass the quotas and queue of cumin-admit before they are held; shares follow the demand that nodes exchange on membership probes. Broken attempts pass the retry budget; an endpoint that accepts no connections after a broken attempt has crashed, and what ran there is suspect.

Attempts off a crashed endpoint take no retry budget: with it, innocent requests of the same crash failed.

--- /dev/null
+++ b/crates/cumin-node/src/admission.rs
@@ -0,0 +1,230 @@
+//! Admission at this node: who runs now, who waits, who is refused.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use cumin_admit::{
+    Admission, Ask, Capacity, Decision, Demand, Dropped, Options, Quota, Refusal, Ticket,
+};
+use cumin_config::Document;
+use cumin_member::Item;
+use cumin_types::{Millis, NodeName, RequestId, TokenCount, WallMillis};
+use derive_more::From;
+use tokio::sync::oneshot;
+
+use crate::node::Ctx;
+
+/// Period of exchanging demand and of looking at deadlines of queued requests.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Periods between two reports of demand.
+const REPORT_EVERY: u32 = 10;
+/// Time that a report of demand is valid, milliseconds.
+const REPORT_TTL_MS: u64 = 10_000;
+/// Requests that a node may have at endpoints, as a multiple of its equal share of their slots;
+/// callers spread unevenly over entries.
+const OVERCOMMIT: usize = 2;
+
+/// Why a request is not admitted.
+#[derive(Debug, From)]
+pub(crate) enum Denied {
+    /// At once.
+    Refused(Refusal),
+    /// After a wait.
+    Dropped(Dropped),
+}
+
+/// Admission and the requests that wait for it.
+pub(crate) struct Gate {
+    admission: RefCell<Admission>,
+    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Result<Ticket, Dropped>>>>,
+}
+
+/// Removes a queued request whose caller went away.
+struct Waiting<'a> {
+    ctx: &'a Rc<Ctx>,
+    id: RequestId,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let gate = &self.ctx.gate;
+        if gate.waiting.borrow_mut().remove(&self.id).is_some() {
+            gate.admission
+                .borrow_mut()
+                .cancel(self.id, self.ctx.clock.now());
+            gate.pump(self.ctx);
+        }
+    }
+}
+
+impl Gate {
+    pub(crate) fn new(node: NodeName, started: WallMillis, document: &Document) -> Self {
+        let options = Options {
+            node,
+            started,
+            ..Options::default()
+        };
+        let mut admission = Admission::new(options);
+        admission.configure(&quotas(document), Millis(0));
+        Self {
+            admission: RefCell::new(admission),
+            waiting: RefCell::default(),
+        }
+    }
+
+    /// Takes the quotas of a new document.
+    pub(crate) fn configure(&self, document: &Document, now: Millis) {
+        self.admission
+            .borrow_mut()
+            .configure(&quotas(document), now);
+    }
+
+    /// Asks for a request to run; waits in the queue when it may not run yet.
+    pub(crate) async fn enter(&self, ctx: &Rc<Ctx>, ask: Ask) -> Result<Ticket, Denied> {
+        let decision = self.admission.borrow_mut().ask(&ask, ctx.clock.now());
+        ctx.decisions.note("admit", &ask.id, &decision);
+        let answer = match decision {
+            Decision::Run(ticket) => {
+                self.pump(ctx);
+                return Ok(ticket);
+            }
+            Decision::Refuse(refusal) => return Err(refusal.into()),
+            Decision::Queue(_) => {
+                let (sender, answer) = oneshot::channel();
+                self.waiting.borrow_mut().insert(ask.id, sender);
+                answer
+            }
+        };
+        let _waiting = Waiting { ctx, id: ask.id };
+        self.pump(ctx);
+        match answer.await {
+            Ok(result) => result.map_err(Denied::from),
+            // The sender lives in `waiting` until it answers.
+            Err(_) => unreachable!("a queued request was forgotten"),
+        }
+    }
+
+    /// Ends a request that used `used` tokens.
+    pub(crate) fn leave(&self, ctx: &Rc<Ctx>, ticket: Ticket, used: TokenCount) {
+        self.admission
+            .borrow_mut()
+            .finish(ticket, used, ctx.clock.now());
+        self.pump(ctx);
+    }
+
+    /// Returns the requests that wait at this node.
+    pub(crate) fn queued(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Answers those that may run, and those that never will.
+    fn pump(&self, ctx: &Rc<Ctx>) {
+        let now = ctx.clock.now();
+        loop {
+            let dropped = self.admission.borrow_mut().expire(now);
+            for one in dropped {
+                ctx.decisions.note("drop", &one.id, &one);
+                if let Some(sender) = self.waiting.borrow_mut().remove(&one.id) {
+                    let _ = sender.send(Err(one));
+                }
+            }
+            let Some(ticket) = self.admission.borrow_mut().next(now) else {
+                return;
+            };
+            ctx.decisions.note("admit", &ticket.id, &ticket);
+            let sender = self.waiting.borrow_mut().remove(&ticket.id);
+            let unwanted = match sender {
+                Some(sender) => sender.send(Ok(ticket)).err().and_then(Result::ok),
+                None => Some(ticket),
+            };
+            if let Some(ticket) = unwanted {
+                self.admission
+                    .borrow_mut()
+                    .finish(ticket, TokenCount(0), now);
+            }
+        }
+    }
+
+    /// Exchanges demand and moves the queue on, for ever.
+    pub(crate) async fn drive(ctx: Rc<Ctx>) {
+        let mut round = 0;
+        loop {
+            if round % REPORT_EVERY == 0 {
+                ctx.gate.exchange(&ctx);
+            }
+            ctx.gate.pump(&ctx);
+            round += 1;
+            actix_rt::time::sleep(PERIOD).await;
+        }
+    }
+
+    fn exchange(&self, ctx: &Rc<Ctx>) {
+        let now = ctx.clock.now();
+        let live: Vec<NodeName> = ctx
+            .members
+            .entries()
+            .into_iter()
+            .map(|member| member.name)
+            .collect();
+        let demand = self.admission.borrow_mut().demand(now);
+        ctx.members.publish(
+            Item {
+                key: format!("demand/{}", ctx.settings.name),
+                version: demand.version,
+                // A report of plain numbers and names always has a JSON form.
+                value: serde_json::to_value(&demand).unwrap_or_default(),
+                ttl: REPORT_TTL_MS,
+            },
+            now,
+        );
+        let reports: Vec<(NodeName, Demand)> = ctx
+            .members
+            .items("demand/")
+            .into_iter()
+            .filter_map(|item| {
+                let name = item.key.strip_prefix("demand/")?;
+                Some((
+                    NodeName::from(name),
+                    serde_json::from_value(item.value).ok()?,
+                ))
+            })
+            .collect();
+        let mut admission = self.admission.borrow_mut();
+        if ctx.members.trusted(now) {
+            admission.rebalance(&reports, &live, now);
+        }
+        for (service, slots, rate) in ctx.fleet.capacities(&ctx.document()) {
+            let own = (slots * OVERCOMMIT).div_ceil(live.len().max(1));
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^53 nodes")]
+            let rate = rate * OVERCOMMIT as f64 / live.len().max(1) as f64;
+            admission.capacity(&service, Capacity { slots: own, rate }, now);
+        }
+    }
+}
+
+fn quotas(document: &Document) -> BTreeMap<cumin_types::Organisation, Quota> {
+    let quota = |spec: &cumin_config::OrganisationSpec| Quota {
+        rate: Some(spec.quota.requests_per_second),
+        concurrent: Some(spec.quota.concurrent_requests),
+        tokens: Some(spec.quota.tokens_per_minute.0),
+        weight: weight(spec.weight),
+    };
+    document
+        .organisations
+        .iter()
+        .map(|(name, spec)| (name.clone(), quota(spec)))
+        .collect()
+}
+
+/// Scales a weight to whole numbers; the document allows 0.01 to 1000.
+fn weight(weight: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked by the document"
+    )]
+    let whole = (weight * 100.0).round() as u32;
+    whole.max(1)
+}
--- a/crates/cumin-node/src/caller/completion.rs
+++ b/crates/cumin-node/src/caller/completion.rs
@@ -4,9 +4,12 @@
 
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{Request, Response, StatusCode};
+use cumin_admit::Ask;
 use cumin_request::{Finish, Transcript};
+use cumin_retry::Verdict;
 use cumin_types::{
-    Call, Descriptor, Epoch, Model, Organisation, Outcome, Position, Priority, RequestId,
+    Call, Descriptor, Epoch, Millis, Model, Organisation, Outcome, Position, Priority, RequestId,
+    TokenCount,
 };
 use cumin_wire::completion::{self as wire, Answer, AnswerChoice, Message, Usage};
 use cumin_wire::header;
@@ -100,10 +103,10 @@
     Ok(body)
 }
 
-/// Has a request held by a second node and starts it.
+/// Admits a request, has it held by a second node and starts it.
 pub(super) async fn accept(ctx: &Rc<Ctx>, descriptor: Descriptor) -> Result<Rc<Live>, Problem> {
+    let id = descriptor.id;
     if ctx.members.leaving() {
-        let id = descriptor.id;
         let problem = Problem::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "leaving",
@@ -111,13 +114,40 @@
         );
         return Err(problem.of(id));
     }
-    let now = ctx.clock.now();
-    let live = Live::new(descriptor, Transcript::default(), now);
+    let live = Live::new(descriptor, Transcript::default(), ctx.clock.now());
+    if let Verdict::Rejected(rejection) = ctx.health.check(&live.print, ctx.clock.now()) {
+        ctx.decisions.note("quarantine", &id, &rejection);
+        let finish = Finish::without(Outcome::Failed, request::QUARANTINED);
+        return Err(Problem::ended(id, &finish).retry(rejection.left));
+    }
+    let ticket = ctx.gate.enter(ctx, ask(&live)).await.map_err(|denied| {
+        ctx.metrics.refused.inc();
+        Problem::denied(&denied).of(id)
+    })?;
+    live.admit(ticket);
     place_second(ctx, &live, None).await;
     request::start(ctx, Rc::clone(&live));
     Ok(live)
 }
 
+fn ask(live: &Live) -> Ask {
+    let run = live.run.borrow();
+    let descriptor = run.descriptor();
+    let tokens = match descriptor.call {
+        Call::Completion { .. } => live.prompt.tokens + live.prompt.output,
+        Call::Plain { .. } => 1,
+    };
+    Ask {
+        id: live.id,
+        org: descriptor.org.clone(),
+        service: descriptor.service.clone(),
+        priority: descriptor.priority,
+        tokens: TokenCount(tokens),
+        deadline: live.deadline,
+        estimate: Millis(0),
+    }
+}
+
 fn accepted(live: &Live) -> Response<BoxBody> {
     Response::build(StatusCode::ACCEPTED)
         .insert_header((header::REQUEST_ID, live.id.to_string()))
--- a/crates/cumin-node/src/caller/reply.rs
+++ b/crates/cumin-node/src/caller/reply.rs
@@ -8,6 +8,9 @@
 use cumin_wire::header;
 use serde::Serialize;
 
+use crate::admission::Denied;
+use crate::request::QUARANTINED;
+
 /// An error that a caller is told.
 #[derive(Clone, Debug)]
 pub(crate) struct Problem {
@@ -44,9 +47,28 @@
         Self::not_run(StatusCode::UNAUTHORIZED, "invalid_api_key", message)
     }
 
+    /// Makes the error of a request that admission turned away; no endpoint saw it.
+    pub(crate) fn denied(denied: &Denied) -> Self {
+        let (status, code, after) = match denied {
+            Denied::Refused(refusal) => (
+                refusal.status(),
+                refusal.reason.to_string(),
+                refusal.retry_after,
+            ),
+            Denied::Dropped(dropped) => (503, dropped.reason.to_string(), dropped.retry_after),
+        };
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        let message = format!("the request was not admitted: {code}");
+        Self::not_run(status, &code, message).retry(after)
+    }
+
     /// Makes the error of a request that ended without an answer.
     pub(crate) fn ended(id: RequestId, finish: &Finish) -> Self {
         let (status, message) = match finish.outcome {
+            _ if finish.reason == QUARANTINED => (
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "endpoints crashed while they ran this request",
+            ),
             Outcome::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "the request was not run"),
             Outcome::Unknown => (StatusCode::BAD_GATEWAY, "the request may have taken effect"),
             _ if finish.reason == "deadline" => (
--- a/crates/cumin-node/src/explain.rs
+++ b/crates/cumin-node/src/explain.rs
@@ -40,7 +40,13 @@
             kind: kind.into(),
             reasons: reasons.to_string(),
         };
-        log::info!(target: "decision", "decision={kind} subject={subject} {reasons}");
+        // Decisions of the pure crates name themselves.
+        let name = if decision.reasons.starts_with("decision=") {
+            ""
+        } else {
+            &format!("decision={kind} ")
+        };
+        log::info!(target: "decision", "{name}subject={subject} {reasons}");
         let mut kept = self.kept.borrow_mut();
         if kept.len() == KEPT {
             kept.pop_front();
--- a/crates/cumin-node/src/fleet.rs
+++ b/crates/cumin-node/src/fleet.rs
@@ -9,17 +9,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cumin_config::Document;
 use cumin_request::Broke;
-use cumin_route::{Finish, NoEndpoint, Options, Query, Router, Work};
-use cumin_types::{AttemptId, Call, EndpointName, Millis, RequestId};
+use cumin_retry::Candidate;
+use cumin_route::{Finish, Options, Query, Router, Work};
+use cumin_types::{AttemptId, Call, EndpointName, Millis, RequestId, Service};
+use cumin_wire::engine::Load;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
 use crate::node::Ctx;
 use crate::request::Live;
 
-/// Attempts of a request before it is given up; the retry budget usually ends it earlier.
-const MAX_ATTEMPTS: usize = 8;
 /// Expected length of an answer whose caller names no limit, tokens.
 const EXPECTED_OUTPUT: u64 = 256;
 
@@ -36,9 +37,9 @@
 /// What a request's prompt means to the router; computed once a request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Prompt {
-    blocks: Vec<u64>,
-    tokens: u64,
-    output: u64,
+    pub(crate) blocks: Vec<u64>,
+    pub(crate) tokens: u64,
+    pub(crate) output: u64,
 }
 
 impl Prompt {
@@ -70,6 +71,8 @@
     attempts: RefCell<HashMap<AttemptId, Sent>>,
     leaving: RefCell<BTreeMap<EndpointName, Millis>>,
     known: Cell<usize>,
+    services: RefCell<BTreeMap<Service, Vec<EndpointName>>>,
+    reports: RefCell<HashMap<EndpointName, Load>>,
     notice: Cell<u64>,
     changed: Notify,
 }
@@ -81,6 +84,8 @@
             attempts: RefCell::default(),
             leaving: RefCell::default(),
             known: Cell::default(),
+            services: RefCell::default(),
+            reports: RefCell::default(),
             notice: Cell::default(),
             changed: Notify::new(),
         }
@@ -96,7 +101,7 @@
         self.changed.notified()
     }
 
-    /// Chooses an endpoint for the next attempt of a request.
+    /// Chooses an endpoint for the next attempt of a request that is no suspect.
     pub(crate) fn pick(
         &self,
         ctx: &Ctx,
@@ -104,41 +109,24 @@
         prefer: Option<&EndpointName>,
         now: Millis,
     ) -> Result<Picked, String> {
-        let query = self.query(ctx, live);
-        let mut router = self.router.borrow_mut();
-        if let Some(name) = prefer
-            && let Some(info) = router.info(name)
-            && !self.leaving.borrow().contains_key(name)
-        {
-            let picked = Picked {
-                name: name.clone(),
-                address: info.address,
-                patience: ctx.options.patience,
-                cached: query.prompt,
-            };
-            ctx.decisions.note(
-                "route",
-                &live.id,
-                &format!("endpoint={name} why=kv_imported"),
-            );
+        let mut query = self.query(ctx, live);
+        let avoided = ctx.health.avoided(&query.service, now);
+        let imported = prefer.filter(|name| !avoided.contains(name) && !self.is_leaving(name));
+        if let Some(picked) = imported.and_then(|name| self.at(ctx, name, query.prompt)) {
+            let reasons = format!("endpoint={} why=kv_imported", picked.name);
+            ctx.decisions.note("route", &live.id, &reasons);
             return Ok(picked);
         }
+        let tried = query.exclude.clone();
+        query.exclude.extend(avoided.iter().cloned());
+        let mut router = self.router.borrow_mut();
         let mut rng = rand::rng();
-        let chosen = router.choose(&query, now, &mut rng).or_else(|error| {
-            // Every endpoint was tried: any of them is better than none.
-            let NoEndpoint { excluded, .. } = error;
-            if excluded == 0 {
-                return Err(error);
-            }
-            router.choose(
-                &Query {
-                    exclude: Vec::new(),
-                    ..query.clone()
-                },
-                now,
-                &mut rng,
-            )
-        });
+        let mut chosen = router.choose(&query, now, &mut rng);
+        // An endpoint that was tried before is better than none, one that is avoided is not.
+        if chosen.is_err() && !tried.is_empty() {
+            query.exclude = avoided;
+            chosen = router.choose(&query, now, &mut rng);
+        }
         let choice = chosen.map_err(|error| format!("reason=no_endpoint {error}"))?;
         ctx.decisions.note("route", &live.id, &choice);
         Ok(Picked {
@@ -149,6 +137,79 @@
         })
     }
 
+    /// Returns the named endpoint for an attempt that may go nowhere else.
+    pub(crate) fn at(&self, ctx: &Ctx, name: &EndpointName, cached: u64) -> Option<Picked> {
+        let router = self.router.borrow();
+        let info = router.info(name)?;
+        Some(Picked {
+            name: name.clone(),
+            address: info.address,
+            patience: ctx.options.patience,
+            cached,
+        })
+    }
+
+    /// Returns where a suspect could run, with the requests of all nodes there.
+    pub(crate) fn for_suspect(&self, ctx: &Ctx, live: &Live) -> Vec<Candidate> {
+        let query = self.query(ctx, live);
+        let Some(model) = &query.model else {
+            return Vec::new();
+        };
+        let router = self.router.borrow();
+        let reports = self.reports.borrow();
+        let targets = router.targets(&query.service, model).into_iter();
+        targets
+            .filter(|target| !target.leaving && !ctx.health.is_dead(&target.endpoint))
+            .map(|target| {
+                let own = router
+                    .load(&target.endpoint)
+                    .map_or(0, |load| load.requests);
+                let told = reports
+                    .get(&target.endpoint)
+                    .map_or(0, |load| load.running + load.queued);
+                let running = u32::try_from(own.max(told)).unwrap_or(u32::MAX);
+                Candidate {
+                    endpoint: target.endpoint,
+                    running,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the endpoints of a service that may be used.
+    pub(crate) fn candidates(&self, service: &Service) -> Vec<EndpointName> {
+        let services = self.services.borrow();
+        let names = services.get(service).into_iter().flatten();
+        names
+            .filter(|name| !self.is_leaving(name))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns each service with the slots of its endpoints and their tokens a second.
+    pub(crate) fn capacities(&self, document: &Document) -> Vec<(Service, usize, f64)> {
+        let services = self.services.borrow();
+        let capacity = |(service, names): (&Service, &Vec<EndpointName>)| {
+            let spec = document.services.get(service)?;
+            let usable = names.iter().filter(|name| !self.is_leaving(name)).count();
+            let slots = usable * spec.worker.concurrent_requests as usize;
+            #[expect(clippy::cast_precision_loss, reason = "the document bounds both")]
+            let rate = (usable as u64 * spec.worker.tokens_per_second.unwrap_or(0)) as f64;
+            Some((service.clone(), slots, rate))
+        };
+        services.iter().filter_map(capacity).collect()
+    }
+
+    pub(crate) fn is_leaving(&self, name: &EndpointName) -> bool {
+        self.leaving.borrow().contains_key(name)
+    }
+
+    /// Stops using an endpoint that died, until the watcher finds it alive.
+    pub(crate) fn forget(&self, name: &EndpointName) {
+        self.router.borrow_mut().remove(name);
+        self.changed.notify_waiters();
+    }
+
     fn query(&self, ctx: &Ctx, live: &Live) -> Query {
         let run = live.run.borrow();
         let descriptor = run.descriptor();
@@ -213,26 +274,6 @@
         }
     }
 
-    /// Decides whether a request whose attempt broke is tried again, and after what delay.
-    pub(crate) fn retry(
-        &self,
-        ctx: &Ctx,
-        live: &Live,
-        picked: &Picked,
-        cause: &Broke,
-    ) -> Result<Duration, String> {
-        let tried = live.run.borrow().tried().len();
-        let reasons = format!("cause={cause} endpoint={} tried={tried}", picked.name);
-        if tried >= MAX_ATTEMPTS {
-            ctx.decisions
-                .note("retry", &live.id, &format!("{reasons} granted=false"));
-            return Err(cause.to_string());
-        }
-        ctx.decisions
-            .note("retry", &live.id, &format!("{reasons} granted=true"));
-        Ok(Duration::ZERO)
-    }
-
     /// Returns the requests of this node that run at `endpoint`.
     fn running_at(&self, ctx: &Rc<Ctx>, endpoint: &EndpointName) -> Vec<(AttemptId, Rc<Live>)> {
         let attempts = self.attempts.borrow();
--- a/crates/cumin-node/src/fleet/watch.rs
+++ b/crates/cumin-node/src/fleet/watch.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 
 use super::{Fleet, reclaim};
+use crate::health;
 use crate::node::Ctx;
 
 /// Longest wait for one answer of the platform or one report.
@@ -29,6 +30,7 @@
 
 struct Watched {
     address: SocketAddr,
+    service: Service,
     engine: bool,
     misses: u32,
     reading: Rc<Cell<bool>>,
@@ -50,6 +52,7 @@
                 apply(&ctx, &mut seen, &list.instances).await;
             }
             ctx.fleet.known.set(seen.known.len());
+            name_members(&ctx, &seen);
             for (name, watched) in &mut seen.known {
                 read(&ctx, name, watched);
             }
@@ -115,7 +118,12 @@
             State::Starting | State::Stopped => {}
         }
     }
+    ctx.health.bury(&listed);
     seen.known.retain(|name, watched| {
+        // The watcher adds it again once it answers.
+        if ctx.health.is_dead(name) {
+            return false;
+        }
         if listed.contains(name) {
             return true;
         }
@@ -133,6 +141,21 @@
     });
 }
 
+/// Names the endpoints of each service to those who count per service.
+fn name_members(ctx: &Ctx, seen: &Seen) {
+    let mut services: BTreeMap<Service, Vec<EndpointName>> = BTreeMap::new();
+    for (name, watched) in &seen.known {
+        services
+            .entry(watched.service.clone())
+            .or_default()
+            .push(name.clone());
+    }
+    for (service, names) in &services {
+        ctx.health.members(service, names);
+    }
+    *ctx.fleet.services.borrow_mut() = services;
+}
+
 /// Names the listed nodes to the membership, beside the seeds of the settings.
 fn seed(ctx: &Rc<Ctx>, instances: &[Instance]) {
     let nodes = instances
@@ -146,7 +169,11 @@
 /// Adds an endpoint.
 async fn join(ctx: &Rc<Ctx>, name: &EndpointName, instance: &Instance) -> Option<Watched> {
     let address: SocketAddr = instance.address.as_ref()?.parse().ok()?;
+    if ctx.health.is_dead(name) && !health::answers(ctx, address).await {
+        return None;
+    }
     let service = Service::from(instance.service.as_str());
+    let name_of = service.clone();
     let document = ctx.document();
     let spec = document.services.get(&service)?;
     let engine = spec.kind == ServiceKind::Model;
@@ -171,10 +198,12 @@
         "service={} place={} address={address} market={:?} price={}",
         info.service, info.place, info.market, info.price
     );
+    ctx.health.revived(name);
     ctx.decisions.note("add_endpoint", name, &reasons);
     ctx.fleet.router.borrow_mut().upsert(info);
     Some(Watched {
         address,
+        service: name_of.clone(),
         engine,
         misses: 0,
         reading: Rc::default(),
@@ -240,10 +269,9 @@
     let tasks = ctx.tasks.clone();
     tasks.spawn(async move {
         if let Some(load) = get::<Load>(&ctx, &format!("http://{address}/v1/load")).await {
-            ctx.fleet
-                .router
-                .borrow_mut()
-                .report(&name, &load, ctx.clock.now());
+            let now = ctx.clock.now();
+            ctx.fleet.router.borrow_mut().report(&name, &load, now);
+            ctx.fleet.reports.borrow_mut().insert(name.clone(), load);
             ctx.fleet.changed.notify_waiters();
         }
         let after = match ctx.fleet.router.borrow().trust(&name) {
--- /dev/null
+++ b/crates/cumin-node/src/health.rs
@@ -0,0 +1,296 @@
+//! Retries, outlier ejection and the quarantine of requests that crash endpoints.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use cumin_member::Item;
+use cumin_request::Broke;
+use cumin_retry::{
+    Candidate, Choice, Decision, EjectOptions, Ejector, End, Failure, Fault, Quarantine,
+    QuarantineOptions, Quarantined, Report, RetryOptions, RetryPolicy, Usable, Verdict,
+};
+use cumin_types::{EndpointName, Fingerprint, Millis, NodeName, Service, WallMillis};
+
+use crate::fleet::Picked;
+use crate::http;
+use crate::node::Ctx;
+use crate::request::Live;
+
+/// Longest wait for an endpoint to show that it lives.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Tries of that, and the pause between two.
+const CHECKS: u32 = 3;
+const CHECK_PAUSE: Duration = Duration::from_millis(50);
+/// Period of telling other nodes of suspects and quarantined requests.
+const GOSSIP_PERIOD: Duration = Duration::from_millis(200);
+
+/// One service's retries and ejections.
+struct Lane {
+    retries: RetryPolicy,
+    ejector: Ejector,
+}
+
+/// Health of endpoints and requests, as this node knows it.
+pub(crate) struct Health {
+    lanes: RefCell<BTreeMap<Service, Lane>>,
+    quarantine: RefCell<Quarantine>,
+    dead: RefCell<BTreeSet<EndpointName>>,
+    published: Cell<u64>,
+}
+
+impl Health {
+    pub(crate) fn new(node: NodeName, started: WallMillis) -> Self {
+        let options = QuarantineOptions {
+            node,
+            started,
+            ..QuarantineOptions::default()
+        };
+        Self {
+            lanes: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::new(options)),
+            dead: RefCell::default(),
+            published: Cell::new(started.0),
+        }
+    }
+
+    fn lane<T>(&self, service: &Service, act: impl FnOnce(&mut Lane) -> T) -> T {
+        let mut lanes = self.lanes.borrow_mut();
+        let lane = lanes.entry(service.clone()).or_insert_with(|| Lane {
+            retries: RetryPolicy::new(RetryOptions {
+                service: service.clone(),
+                ..RetryOptions::default()
+            }),
+            ejector: Ejector::new(EjectOptions {
+                service: service.clone(),
+                ..EjectOptions::default()
+            }),
+        });
+        act(lane)
+    }
+
+    /// Names the endpoints of a service.
+    pub(crate) fn members(&self, service: &Service, names: &[EndpointName]) {
+        self.lane(service, |lane| lane.ejector.members(names));
+    }
+
+    /// Forgets dead endpoints that the platform no longer lists.
+    pub(crate) fn bury(&self, listed: &BTreeSet<EndpointName>) {
+        self.dead.borrow_mut().retain(|name| listed.contains(name));
+    }
+
+    /// Returns how a request may be run.
+    pub(crate) fn check(&self, print: &Fingerprint, now: Millis) -> Verdict {
+        self.quarantine.borrow_mut().check(print, now)
+    }
+
+    /// Returns the endpoints that get no ordinary work now: ejected, dead, or kept for suspects.
+    pub(crate) fn avoided(&self, service: &Service, now: Millis) -> Vec<EndpointName> {
+        let mut avoided = self.quarantine.borrow().reserved(now);
+        avoided.extend(self.dead.borrow().iter().cloned());
+        self.lane(service, |lane| {
+            let out = lane.ejector.ejected();
+            avoided.extend(
+                out.into_iter()
+                    .filter(|name| matches!(lane.ejector.usable(name, now), Usable::No { .. })),
+            );
+        });
+        avoided
+    }
+
+    /// Chooses where a suspect runs.
+    pub(crate) fn place(
+        &self,
+        print: &Fingerprint,
+        candidates: &[Candidate],
+        left: Millis,
+        estimate: Millis,
+        now: Millis,
+    ) -> Choice {
+        self.quarantine
+            .borrow_mut()
+            .place_suspect(print, candidates, left, estimate, now)
+    }
+
+    /// Counts an attempt that is about to be sent.
+    pub(crate) fn started(
+        &self,
+        service: &Service,
+        live: &Live,
+        endpoint: &EndpointName,
+        now: Millis,
+    ) {
+        let first = live.run.borrow().tried().len() == 1;
+        self.lane(service, |lane| {
+            if first {
+                lane.retries.first(now);
+            }
+            lane.ejector.probing(endpoint, now);
+        });
+        self.quarantine.borrow_mut().started(&live.print, endpoint);
+    }
+
+    /// Counts the end of an attempt, which gave the `whole` answer or not. When it broke, finds out first whether the endpoint died:
+    /// then every request in flight there is a suspect.
+    pub(crate) async fn ended(
+        &self,
+        ctx: &Rc<Ctx>,
+        service: &Service,
+        live: &Live,
+        picked: &Picked,
+        whole: bool,
+        broke: Option<&Broke>,
+    ) {
+        let silent = matches!(broke, Some(Broke::Broken | Broke::NotConnected));
+        if silent && !ctx.fleet.is_leaving(&picked.name) && self.died(ctx, picked).await {
+            let crash = self
+                .quarantine
+                .borrow_mut()
+                .crashed(&picked.name, ctx.clock.now());
+            if self.dead.borrow_mut().insert(picked.name.clone()) {
+                ctx.decisions.note("crash", &picked.name, &crash);
+                ctx.fleet.forget(&picked.name);
+            }
+        }
+        let now = ctx.clock.now();
+        let end = if whole { End::Done } else { End::Stopped };
+        self.quarantine
+            .borrow_mut()
+            .ended(&live.print, &picked.name, end, now);
+        let ok = match broke {
+            None if !whole => None,
+            None | Some(Broke::Rejected { .. }) => Some(true),
+            // Neither the endpoint's fault nor its merit.
+            Some(Broke::Moved | Broke::NotStarted) => None,
+            Some(_) => Some(false),
+        };
+        if let Some(ok) = ok {
+            let report = self.lane(service, |lane| lane.ejector.report(&picked.name, ok, now));
+            if report != Report::Same {
+                ctx.decisions.note("eject", &picked.name, &report);
+            }
+        }
+    }
+
+    /// Returns true when nothing accepts connections at the endpoint any more.
+    async fn died(&self, ctx: &Rc<Ctx>, picked: &Picked) -> bool {
+        self.is_dead(&picked.name) || !answers(ctx, picked.address).await
+    }
+
+    /// Records that an endpoint answers again.
+    pub(crate) fn revived(&self, name: &EndpointName) {
+        self.dead.borrow_mut().remove(name);
+    }
+
+    /// Returns true when the endpoint is known to have died.
+    pub(crate) fn is_dead(&self, name: &EndpointName) -> bool {
+        self.dead.borrow().contains(name)
+    }
+
+    /// Decides what follows an attempt that broke.
+    pub(crate) fn retry(&self, ctx: &Ctx, live: &Live, picked: &Picked, cause: &Broke) -> Decision {
+        let (service, failure) = {
+            let run = live.run.borrow();
+            let descriptor = run.descriptor();
+            let failure = Failure {
+                request: live.id,
+                idempotent: !run.once(),
+                fault: self.fault(picked, cause),
+                endpoint: picked.name.clone(),
+                attempts: u32::try_from(run.tried().len()).unwrap_or(u32::MAX),
+                tried: run.tried().to_vec(),
+                candidates: ctx.fleet.candidates(&descriptor.service),
+                deadline: live.deadline,
+                estimate: Millis(0),
+            };
+            (descriptor.service.clone(), failure)
+        };
+        let now = ctx.clock.now();
+        let decision = self.lane(&service, |lane| {
+            lane.retries.decide(&failure, now, &mut rand::rng())
+        });
+        ctx.decisions.note("retry", &live.id, &decision);
+        decision
+    }
+
+    fn fault(&self, picked: &Picked, cause: &Broke) -> Fault {
+        match cause {
+            Broke::NotConnected => Fault::Refused,
+            Broke::NotStarted => Fault::NotStarted,
+            Broke::Status { status } | Broke::Rejected { status } => Fault::Status(*status),
+            Broke::Stalled => Fault::Stalled,
+            Broke::Moved => Fault::Moved,
+            // A dead endpoint takes no load any more, so going on elsewhere adds none: it is a
+            // move, not a retry. Counted as retries, the requests in flight at one crash used
+            // the budget up and innocent ones among them failed.
+            Broke::Broken | Broke::Gap if self.is_dead(&picked.name) => Fault::Moved,
+            Broke::Broken | Broke::Gap => Fault::Broken,
+        }
+    }
+
+    /// Tells other nodes of suspects and quarantined requests, for ever.
+    pub(crate) async fn drive(ctx: Rc<Ctx>) {
+        loop {
+            let now = ctx.clock.now();
+            let records = ctx.health.quarantine.borrow_mut().gossip(now);
+            for record in records
+                .iter()
+                .filter(|record| record.author == ctx.settings.name || record.left.0 > 0)
+            {
+                ctx.health.publish(&ctx, record, now);
+            }
+            actix_rt::time::sleep(GOSSIP_PERIOD).await;
+        }
+    }
+
+    fn publish(&self, ctx: &Ctx, record: &Quarantined, now: Millis) {
+        let key = format!(
+            "quarantine/{}/{}/{}",
+            record.author,
+            record.number,
+            record.fingerprint.0.short()
+        );
+        let value = serde_json::to_value(record).unwrap_or_default();
+        let known = ctx.members.items(&key);
+        let same = |item: &Item| item.value.get("state") == value.get("state");
+        if known.iter().any(same) {
+            return;
+        }
+        self.published.set(self.published.get() + 1);
+        let version = self.published.get();
+        ctx.members.publish(
+            Item {
+                key,
+                version,
+                value,
+                ttl: record.left.0.max(1000),
+            },
+            now,
+        );
+    }
+
+    /// Takes what another node tells.
+    pub(crate) fn merge(&self, item: &Item, now: Millis) {
+        match serde_json::from_value::<Quarantined>(item.value.clone()) {
+            Ok(record) => self.quarantine.borrow_mut().merge(&[record], now),
+            Err(error) => log::warn!("event=item_malformed key={} error={error:?}", item.key),
+        }
+    }
+}
+
+/// Returns true unless nothing accepts connections at an address; a slow endpoint lives.
+pub(crate) async fn answers(ctx: &Ctx, address: SocketAddr) -> bool {
+    for _ in 0..CHECKS {
+        let call = ctx.fresh.get(format!("http://{address}/health"));
+        match call.timeout(CHECK_TIMEOUT).send().await {
+            Ok(_) | Err(SendRequestError::Timeout) => return true,
+            Err(error) if http::unsent(&error) => return false,
+            // While a process dies its listener may still take a connection and drop it.
+            Err(_) => actix_rt::time::sleep(CHECK_PAUSE).await,
+        }
+    }
+    false
+}
--- a/crates/cumin-node/src/lib.rs
+++ b/crates/cumin-node/src/lib.rs
@@ -5,10 +5,12 @@
 //! members, endpoints and the document. Each slice owns its state; decisions come from the
 //! pure crates and are logged with their reasons.
 
+mod admission;
 mod caller;
 mod clock;
 mod explain;
 mod fleet;
+mod health;
 mod http;
 mod log_client;
 mod member;
--- a/crates/cumin-node/src/member.rs
+++ b/crates/cumin-node/src/member.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Returns the value of a key.
+    pub(crate) fn item(&self, key: &str) -> Option<Item> {
+        self.machine.borrow().item(key).cloned()
+    }
+
     /// Returns the values whose key starts with `prefix`.
     pub(crate) fn items(&self, prefix: &str) -> Vec<Item> {
         self.machine.borrow().items(prefix).cloned().collect()
@@ -222,6 +227,11 @@
         match event {
             Event::Dead { member, .. } | Event::Left { member, .. } => inherit(ctx, &member),
             Event::Paused { .. } => ctx.recorders.resume(),
+            Event::Item { key, .. } if key.starts_with("quarantine/") => {
+                if let Some(item) = ctx.members.item(&key) {
+                    ctx.health.merge(&item, ctx.clock.now());
+                }
+            }
             _ => {}
         }
     }
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -13,10 +13,12 @@
 use derive_more::{Display, Error};
 use tokio::sync::Notify;
 
+use crate::admission::Gate;
 use crate::caller;
 use crate::clock::{Clock, wall};
 use crate::explain::Decisions;
 use crate::fleet::Fleet;
+use crate::health::Health;
 use crate::http;
 use crate::member::{Member, Members};
 use crate::metrics::Metrics;
@@ -97,6 +99,8 @@
     pub(crate) holder: RefCell<Holder>,
     pub(crate) replicas: Replicas,
     pub(crate) fleet: Fleet,
+    pub(crate) gate: Gate,
+    pub(crate) health: Health,
     pub(crate) records: Records,
     pub(crate) recorders: Recorders,
     pub(crate) decisions: Decisions,
@@ -150,6 +154,7 @@
             requests: settings.limits.requests_held,
             ..HolderOptions::default()
         };
+        let gate = Gate::new(settings.name.clone(), wall(), &document);
         let ctx = Rc::new(Ctx {
             client: Client::new(secret.expose(), options.peer_timeout),
             slow_client: Client::new(secret.expose(), Duration::from_secs(10)),
@@ -163,6 +168,8 @@
             holder: RefCell::new(Holder::new(holder)),
             replicas: Replicas::default(),
             fleet: Fleet::new(),
+            gate,
+            health: Health::new(settings.name.clone(), wall()),
             records: Records::new(author.clone()),
             recorders: Recorders::new(author),
             decisions: Decisions::default(),
@@ -177,6 +184,8 @@
         ctx.tasks.spawn(Fleet::watch(Rc::clone(&ctx)));
         ctx.tasks.spawn(Members::drive(Rc::clone(&ctx)));
         ctx.tasks.spawn(Recorders::drive(Rc::clone(&ctx)));
+        ctx.tasks.spawn(Gate::drive(Rc::clone(&ctx)));
+        ctx.tasks.spawn(Health::drive(Rc::clone(&ctx)));
         ctx.tasks.spawn(tidy(Rc::clone(&ctx)));
         log::info!(
             "event=started node={} place={} callers={} peers={}",
--- a/crates/cumin-node/src/record/call.rs
+++ b/crates/cumin-node/src/record/call.rs
@@ -10,7 +10,7 @@
 use cumin_state::claim::{Answer, Claim, Ending, Kept};
 use cumin_state::entry::{Call, Step};
 use cumin_state::recorder::{Ask, Unsent, Verdict};
-use cumin_types::{ClaimKey, Fingerprint, Millis, Outcome, RequestId};
+use cumin_types::{ClaimKey, Millis, Outcome, RequestId};
 use serde_json::json;
 use tokio::sync::Notify;
 use uuid::Uuid;
@@ -80,7 +80,7 @@
                     key,
                 },
                 author: self.author.clone(),
-                print: print_of(descriptor),
+                print: live.print,
             }
         };
         let mut call = Call::new(claim, live.deadline);
@@ -231,16 +231,6 @@
     );
 }
 
-fn print_of(descriptor: &cumin_types::Descriptor) -> Fingerprint {
-    let target = match &descriptor.call {
-        cumin_types::Call::Plain { method, path, .. } => {
-            format!("{method} {}/{path}", descriptor.service)
-        }
-        cumin_types::Call::Completion { model, .. } => model.to_string(),
-    };
-    Fingerprint::of(&descriptor.org, &target, descriptor.body.as_bytes())
-}
-
 fn ending(finish: &Finish) -> Ending {
     match (finish.outcome, &finish.body) {
         (Outcome::Done, Some(body)) => {
--- a/crates/cumin-node/src/request.rs
+++ b/crates/cumin-node/src/request.rs
@@ -7,6 +7,7 @@
 mod replica;
 mod takeover;
 
+pub(crate) use completion::QUARANTINED;
 pub(crate) use live::{Command, Live, Reader, Table};
 pub(crate) use replica::{Replicas, place_second};
 pub(crate) use takeover::{find, release, start, take_over};
--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cumin_request::{Broke, Finish, Frame, Next};
-use cumin_types::{AttemptId, Call, Outcome};
+use cumin_retry::{Choice, Decision, Verdict};
+use cumin_types::{AttemptId, Call, Millis, Outcome};
 
 use super::engine::{self, Event, Events};
 use super::{Command, Live};
@@ -14,6 +15,9 @@
 /// Longest answer, bytes; bounds the memory of a request whose engine never ends.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Error code of a request that crashes endpoints.
+pub(crate) const QUARANTINED: &str = "quarantined";
+
 /// How an attempt ended.
 enum Ended {
     Whole(Finish),
@@ -24,6 +28,7 @@
 
 /// Runs `live` to its end.
 pub(super) async fn run(ctx: &Rc<Ctx>, live: &Rc<Live>) {
+    let service = live.run.borrow().descriptor().service.clone();
     let mut prefer = None;
     loop {
         let Some(picked) = pick(ctx, live, prefer.take()).await else {
@@ -33,9 +38,15 @@
         live.run.borrow_mut().begin(attempt, picked.name.clone());
         ctx.metrics.attempts.inc();
         ctx.fleet.started(&picked, live, attempt, ctx.clock.now());
+        ctx.health
+            .started(&service, live, &picked.name, ctx.clock.now());
         let ended = follow(ctx, live, &picked, attempt).await;
-        ctx.fleet
-            .ended(ctx, &picked, attempt, broke_of(&ended).as_ref());
+        let broke = broke_of(&ended);
+        let whole = matches!(ended, Ended::Whole(_));
+        ctx.fleet.ended(ctx, &picked, attempt, broke.as_ref());
+        ctx.health
+            .ended(ctx, &service, live, &picked, whole, broke.as_ref())
+            .await;
         match ended {
             Ended::Whole(finish) => {
                 live.run.borrow_mut().complete(attempt, finish);
@@ -94,14 +105,31 @@
             give_up(ctx, live, "deadline");
             return None;
         }
-        match ctx.fleet.pick(ctx, live, prefer.as_ref(), now) {
-            Ok(picked) => return Some(picked),
-            Err(reason) => ctx.decisions.note("wait", &live.id, &reason),
-        }
-        let left = Duration::from_millis(live.deadline.since(now));
+        let wait = match ctx.health.check(&live.print, now) {
+            Verdict::Clear => match ctx.fleet.pick(ctx, live, prefer.as_ref(), now) {
+                Ok(picked) => return Some(picked),
+                Err(reason) => {
+                    ctx.decisions.note("wait", &live.id, &reason);
+                    Millis(250)
+                }
+            },
+            Verdict::Suspect { .. } => match place_suspect(ctx, live, now) {
+                Ok(picked) => return Some(picked),
+                Err(wait) => wait,
+            },
+            Verdict::Hold { until } => Millis(until.since(now)),
+            Verdict::Rejected(rejection) => {
+                ctx.decisions.note("quarantine", &live.id, &rejection);
+                live.run
+                    .borrow_mut()
+                    .settle(Finish::without(Outcome::Failed, QUARANTINED));
+                return None;
+            }
+        };
+        let left = Millis(live.deadline.since(now));
         tokio::select! {
             () = ctx.fleet.changed() => {}
-            () = actix_rt::time::sleep(left.min(Duration::from_millis(250))) => {}
+            () = actix_rt::time::sleep(left.min(wait).max(Millis(1)).duration()) => {}
             command = live.commanded() => {
                 if !matches!(command, Command::Move { .. }) {
                     give_up(ctx, live, "cancelled");
@@ -112,6 +140,27 @@
     }
 }
 
+/// Chooses where a suspect runs apart from others; else the time after which to ask again.
+fn place_suspect(ctx: &Ctx, live: &Live, now: Millis) -> Result<Picked, Millis> {
+    let candidates = ctx.fleet.for_suspect(ctx, live);
+    let left = Millis(live.deadline.since(now));
+    let choice = ctx.health.place(
+        &live.print,
+        &candidates,
+        left,
+        Millis(live.prompt.output * 10),
+        now,
+    );
+    ctx.decisions.note("suspect", &live.id, &choice);
+    if let Choice::Wait { after, .. } = &choice {
+        return Err(*after);
+    }
+    let picked = choice
+        .endpoint()
+        .and_then(|name| ctx.fleet.at(ctx, name, 0));
+    picked.ok_or(Millis(250))
+}
+
 /// Reads one attempt until it ends.
 async fn follow(ctx: &Rc<Ctx>, live: &Rc<Live>, picked: &Picked, attempt: AttemptId) -> Ended {
     let left = Duration::from_millis(live.deadline.since(ctx.clock.now()));
@@ -165,7 +214,7 @@
     let Call::Completion { chat, .. } = descriptor.call else {
         return Err(Broke::Rejected { status: 400 });
     };
-    let left = cumin_types::Millis(live.deadline.since(ctx.clock.now()));
+    let left = Millis(live.deadline.since(ctx.clock.now()));
     engine::open(engine::Options {
         client: &ctx.endpoints,
         address: picked.address,
@@ -245,13 +294,13 @@
     if next != Next::Retry {
         return false;
     }
-    match ctx.fleet.retry(ctx, live, picked, cause) {
-        Ok(delay) => {
-            actix_rt::time::sleep(delay).await;
+    match ctx.health.retry(ctx, live, picked, cause) {
+        Decision::Retry { after, .. } => {
+            actix_rt::time::sleep(after.duration()).await;
             true
         }
-        Err(reason) => {
-            give_up(ctx, live, &reason);
+        Decision::GiveUp { reason, .. } => {
+            give_up(ctx, live, &format!("{cause}_{reason}"));
             false
         }
     }
--- a/crates/cumin-node/src/request/live.rs
+++ b/crates/cumin-node/src/request/live.rs
@@ -4,8 +4,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use cumin_admit::Ticket;
 use cumin_request::{Finish, Given, Run, Transcript};
-use cumin_types::{Descriptor, EndpointName, Millis, Position, RequestId};
+use cumin_types::{
+    Call, Descriptor, EndpointName, Fingerprint, Millis, Position, RequestId, TokenCount,
+};
 use tokio::sync::Notify;
 
 use crate::fleet::Prompt;
@@ -33,8 +36,11 @@
     pub(crate) run: RefCell<Run>,
     /// When the answer is of no more use.
     pub(crate) deadline: Millis,
+    /// What is the same when the caller sends the request again.
+    pub(crate) print: Fingerprint,
     /// What the prompt means to the choice of an endpoint.
     pub(crate) prompt: Prompt,
+    ticket: RefCell<Option<Ticket>>,
     second: RefCell<Option<Member>>,
     acked: Cell<Position>,
     sealed: Cell<bool>,
@@ -51,9 +57,11 @@
     pub(crate) fn new(descriptor: Descriptor, transcript: Transcript, now: Millis) -> Rc<Self> {
         Rc::new(Self {
             id: descriptor.id,
+            print: print_of(&descriptor),
             prompt: Prompt::of(&descriptor.call, &descriptor.body),
             deadline: now.plus(descriptor.left.0),
             run: RefCell::new(Run::new(descriptor, transcript)),
+            ticket: RefCell::default(),
             second: RefCell::default(),
             acked: Cell::default(),
             sealed: Cell::default(),
@@ -66,6 +74,22 @@
         })
     }
 
+    /// Keeps the right to run; it is given back when the request ends.
+    pub(crate) fn admit(&self, ticket: Ticket) {
+        *self.ticket.borrow_mut() = Some(ticket);
+    }
+
+    /// Takes the right to run, with the tokens that the request used.
+    pub(crate) fn release(&self) -> Option<(Ticket, TokenCount)> {
+        let ticket = self.ticket.borrow_mut().take()?;
+        let run = self.run.borrow();
+        let used = match run.descriptor().call {
+            Call::Completion { .. } => self.prompt.tokens + run.transcript().position().0,
+            Call::Plain { .. } => 1,
+        };
+        Some((ticket, TokenCount(used)))
+    }
+
     /// Returns the request as another node needs it.
     pub(crate) fn given(&self, now: Millis) -> Given {
         let run = self.run.borrow();
@@ -162,6 +186,15 @@
     }
 }
 
+/// Returns what is the same in two sendings of one request.
+fn print_of(descriptor: &Descriptor) -> Fingerprint {
+    let target = match &descriptor.call {
+        Call::Completion { model, .. } => model.to_string(),
+        Call::Plain { method, path, .. } => format!("{method} {}/{path}", descriptor.service),
+    };
+    Fingerprint::of(&descriptor.org, &target, descriptor.body.as_bytes())
+}
+
 /// A caller that reads the answer.
 pub(crate) struct Reader {
     live: Rc<Live>,
--- a/crates/cumin-node/src/request/plain.rs
+++ b/crates/cumin-node/src/request/plain.rs
@@ -63,9 +63,21 @@
         live.run.borrow_mut().begin(attempt, picked.name.clone());
         ctx.metrics.attempts.inc();
         ctx.fleet.started(&picked, live, attempt, ctx.clock.now());
+        ctx.health
+            .started(&descriptor.service, live, &picked.name, ctx.clock.now());
         let answer = call(ctx, live, descriptor, &picked, attempt).await;
-        ctx.fleet
-            .ended(ctx, &picked, attempt, answer.as_ref().err());
+        let broke = answer.as_ref().err();
+        ctx.fleet.ended(ctx, &picked, attempt, broke);
+        ctx.health
+            .ended(
+                ctx,
+                &descriptor.service,
+                live,
+                &picked,
+                broke.is_none(),
+                broke,
+            )
+            .await;
         match answer {
             Ok(body) => {
                 let counts = Counts::default();
--- a/crates/cumin-node/src/request/takeover.rs
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -33,6 +33,9 @@
                 completion::run(&ctx, &live).await;
             }
         }
+        if let Some((ticket, used)) = live.release() {
+            ctx.gate.leave(&ctx, ticket, used);
+        }
         seal(&ctx, &live).await;
         ctx.metrics.running.dec();
         ctx.table.remove(live.id);
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -311,6 +311,13 @@
         sum
     }
 
+    /// Returns the number of engines that accept no connections.
+    #[must_use]
+    pub fn crashed_engines(&self) -> usize {
+        let down = |engine: &&Engine| std::net::TcpStream::connect(engine.address()).is_err();
+        self.engines.values().filter(down).count()
+    }
+
     /// Returns the number of effects of the key at all plain services.
     #[must_use]
     pub fn effects(&self, key: &str) -> u64 {
--- a/crates/cumin-testbed/tests/all/main.rs
+++ b/crates/cumin-testbed/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod support;
 
 mod actions;
+mod overload;
 mod streams;
--- a/crates/cumin-testbed/tests/all/support.rs
+++ b/crates/cumin-testbed/tests/all/support.rs
@@ -1,6 +1,7 @@
 use cumin_config::Document;
 use cumin_standin::engine;
 use cumin_testbed::{Options, Testbed};
+use cumin_types::TokenCount;
 use cumin_wire::completion::{Message, Request};
 
 /// Demo key of an organisation in `examples/bakers.toml`.
@@ -13,11 +14,21 @@
     Document::parse(text).expect("the example is valid")
 }
 
+/// Starts a testbed whose organisations have room for any test but those of quotas.
 pub async fn testbed(options: Options) -> Testbed {
+    let mut document = document();
+    for spec in document.organisations.values_mut() {
+        spec.quota.requests_per_second = 10_000.0;
+        spec.quota.concurrent_requests = 10_000;
+        spec.quota.tokens_per_minute = TokenCount(1_000_000_000);
+    }
+    start(document, options).await
+}
+
+pub async fn start(document: Document, options: Options) -> Testbed {
     let _ = env_logger::builder().is_test(true).try_init();
-    Testbed::start(document(), options)
-        .await
-        .expect("the testbed starts")
+    let bed = Testbed::start(document, options).await;
+    bed.expect("the testbed starts")
 }
 
 pub fn chat(prompt: &str, max_tokens: u64) -> Request {
