Let an organisation below its part go ahead under fair queueing

A start tag may now lie up to 100 ms of the service's rate before virtual time, so unused capacity is lent to bursts, by a bounded amount.

--- a/crates/cumin-admit/src/admission.rs
+++ b/crates/cumin-admit/src/admission.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::org::Org;
-use crate::queue::{Entry, Guard, Key, Lane};
+use crate::queue::{Entry, FIRST, Guard, Key, Lane};
 use crate::{
     Ask, Capacity, Decision, Demand, DropReason, Dropped, Grant, Quota, Reason, Refusal,
     ShareOptions, Shares, Ticket, Wait,
@@ -27,6 +27,9 @@
     pub token_burst: Millis,
     /// Most requests that wait for one service.
     pub queue: usize,
+    /// How far an organisation that used less than its part goes ahead of the others, as
+    /// time at the service's rate.
+    pub credit: Millis,
     /// A waiting request of a lower priority is starved after this time.
     pub patience: Millis,
     /// While a request is starved, one of every `guard + 1` served is a starved one.
@@ -45,6 +48,7 @@
             burst: Millis(2000),
             token_burst: Millis(10_000),
             queue: 1024,
+            credit: Millis(100),
             patience: Millis(5000),
             guard: 8,
             smoothing: Millis(2000),
@@ -112,7 +116,7 @@
     /// Sets what this node may use of a service.
     pub fn capacity(&mut self, service: &Service, capacity: Capacity, now: Millis) {
         self.lane(service).capacity = capacity;
-        self.shed(service, now);
+        self.shed(service, FIRST, 0, now);
     }
 
     /// Decides on a request. Call `expire` afterwards for requests shed in its favour.
@@ -135,11 +139,15 @@
         if let Some((resource, wait)) = org.short(ask, now) {
             return refuse(ask, Reason::Quota(resource), wait, left, ask.estimate);
         }
-        let limit = self.options.queue;
+        let Options {
+            queue: limit,
+            credit,
+            ..
+        } = self.options;
         let lane = self
             .lanes
             .entry(ask.service.clone())
-            .or_insert_with(|| Lane::new(ask.service.clone()));
+            .or_insert_with(|| Lane::new(ask.service.clone(), credit));
         if lane.free() && lane.queued() == 0 {
             lane.idle();
             lane.running += 1;
@@ -168,7 +176,7 @@
             (ask.service.clone(), ask.priority, key, ask.deadline),
         );
         self.deadlines.insert((ask.deadline, ask.id));
-        self.shed(&ask.service, now);
+        self.shed(&ask.service, (ask.priority, key), ahead.tokens, now);
         Decision::Queue(Wait {
             id: ask.id,
             org: ask.org.clone(),
@@ -325,9 +333,10 @@
     }
 
     fn lane(&mut self, service: &Service) -> &mut Lane {
+        let credit = self.options.credit;
         self.lanes
             .entry(service.clone())
-            .or_insert_with(|| Lane::new(service.clone()))
+            .or_insert_with(|| Lane::new(service.clone(), credit))
     }
 
     fn grant(&mut self, now: Millis) {
@@ -338,8 +347,10 @@
         }
     }
 
-    fn shed(&mut self, service: &Service, now: Millis) {
-        for (priority, key) in self.lane(service).late(now) {
+    /// Drops the requests from `from` on that can not be completed in time, when `tokens` are
+    /// ahead of them.
+    fn shed(&mut self, service: &Service, from: (Priority, Key), tokens: u64, now: Millis) {
+        for (priority, key) in self.lane(service).late(from, tokens, now) {
             self.drop_entry(service, priority, key, DropReason::Late, now);
         }
     }
--- a/crates/cumin-admit/src/queue.rs
+++ b/crates/cumin-admit/src/queue.rs
@@ -12,6 +12,9 @@
 
 const SCALE: Tag = 1 << 20;
 
+/// The first place in the order of all requests.
+pub(crate) const FIRST: (Priority, Key) = (Priority::Live, (0, 0));
+
 /// Place in the order of one priority: start tag, then arrival.
 pub(crate) type Key = (Tag, u64);
 
@@ -27,7 +30,7 @@
 #[derive(Debug, Default)]
 struct Class {
     order: BTreeMap<Key, Entry>,
-    /// Start tag of the request served last.
+    /// Highest start tag of the requests served.
     virt: Tag,
     /// Finish tag of the last queued request of each organisation.
     finish: HashMap<Organisation, Tag>,
@@ -35,8 +38,11 @@
 }
 
 impl Class {
-    fn start(&self, org: &Organisation) -> Tag {
-        self.finish.get(org).copied().unwrap_or(0).max(self.virt)
+    /// Returns the start tag of a new request. An organisation that used less than its part
+    /// goes ahead of the others by up to `credit`.
+    fn start(&self, org: &Organisation, credit: Tag) -> Tag {
+        let earliest = self.virt.saturating_sub(credit);
+        self.finish.get(org).copied().unwrap_or(0).max(earliest)
     }
 
     fn remove(&mut self, key: Key) -> Option<Entry> {
@@ -67,6 +73,8 @@
 pub(crate) struct Lane {
     pub service: Service,
     pub capacity: Capacity,
+    /// How far an organisation may go ahead, as time at the service's rate.
+    pub credit: Millis,
     pub running: usize,
     classes: [Class; 3],
     arrivals: u64,
@@ -75,10 +83,11 @@
 }
 
 impl Lane {
-    pub fn new(service: Service) -> Self {
+    pub fn new(service: Service, credit: Millis) -> Self {
         Self {
             service,
             capacity: Capacity::default(),
+            credit,
             running: 0,
             classes: Default::default(),
             arrivals: 0,
@@ -102,10 +111,21 @@
         }
     }
 
+    fn credit(&self) -> Tag {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "a cast from float saturates, and the value is not negative"
+        )]
+        let tokens = (self.capacity.rate * self.credit.0 as f64 / 1000.0) as u64;
+        Tag::from(tokens) * SCALE
+    }
+
     /// Returns what would be served before a new request of `org`.
     pub fn ahead(&self, org: &Organisation, priority: Priority) -> Ahead {
         let class = &self.classes[priority as usize];
-        let key = (class.start(org), self.arrivals);
+        let key = (class.start(org, self.credit()), self.arrivals);
         let higher = &self.classes[..priority as usize];
         let mut ahead = Ahead {
             key,
@@ -132,8 +152,9 @@
 
     /// Queues a request under the key that `ahead` returned for it.
     pub fn push(&mut self, ask: Ask, weight: u32, now: Millis) -> Key {
+        let credit = self.credit();
         let class = &mut self.classes[ask.priority as usize];
-        let key = (class.start(&ask.org), self.arrivals);
+        let key = (class.start(&ask.org, credit), self.arrivals);
         self.arrivals += 1;
         let cost = Tag::from(ask.tokens.0) * SCALE / Tag::from(weight.max(1));
         class.finish.insert(ask.org.clone(), key.0 + cost);
@@ -182,11 +203,12 @@
             }
             None => first,
         };
+        let credit = self.credit();
         let class = &mut self.classes[index];
         let key = *class.order.first_key_value()?.0;
-        class.virt = key.0;
-        let virt = class.virt;
-        class.finish.retain(|_, finish| *finish > virt);
+        class.virt = class.virt.max(key.0);
+        let earliest = class.virt.saturating_sub(credit);
+        class.finish.retain(|_, finish| *finish > earliest);
         class.remove(key)
     }
 
@@ -199,17 +221,22 @@
         })
     }
 
-    /// Returns the requests that can not be completed before their deadline at the service's
-    /// rate, with the tokens ahead of each. The work of those returned is not counted, so
-    /// nothing is returned because of work that is itself shed.
-    pub fn late(&self, now: Millis) -> Vec<(Priority, Key)> {
+    /// Returns the requests from `from` on that can not be completed before their deadline at
+    /// the service's rate, when `tokens` are ahead of them. The work of those returned is not
+    /// counted, so nothing is returned because of work that is itself shed.
+    pub fn late(
+        &self,
+        from: (Priority, Key),
+        mut tokens: u64,
+        now: Millis,
+    ) -> Vec<(Priority, Key)> {
         let mut late = Vec::new();
         if self.capacity.rate <= 0.0 {
             return late;
         }
-        let mut tokens = 0;
-        for priority in ORDER {
-            for (key, Entry { ask, .. }) in &self.classes[priority as usize].order {
+        for priority in ORDER.into_iter().skip(from.0 as usize) {
+            let first = if priority == from.0 { from.1 } else { (0, 0) };
+            for (key, Entry { ask, .. }) in self.classes[priority as usize].order.range(first..) {
                 let end = now.plus(self.time(tokens).0).plus(ask.estimate.0);
                 if end > ask.deadline {
                     late.push((priority, *key));
--- /dev/null
+++ b/crates/cumin-admit/tests/all/main.rs
@@ -0,0 +1,38 @@
+//! Tests of admission.
+
+mod deadline;
+mod fairness;
+mod fuzz;
+mod quotas;
+mod shares;
+mod shedding;
+
+use std::collections::BTreeMap;
+
+use cumin_admit::{Admission, Ask, Options, Quota};
+use cumin_types::{Millis, Organisation, Priority, RequestId, Service, TokenCount};
+use uuid::Uuid;
+
+/// Returns a request of `org` with 100 tokens, 100 ms and a far deadline.
+fn ask(id: u128, org: &str) -> Ask {
+    Ask {
+        id: RequestId(Uuid::from_u128(id)),
+        org: Organisation::from(org),
+        service: Service::from("crumb-assist"),
+        priority: Priority::Normal,
+        tokens: TokenCount(100),
+        deadline: Millis(1_000_000),
+        estimate: Millis(100),
+    }
+}
+
+fn quotas(names: &[(&str, Quota)]) -> BTreeMap<Organisation, Quota> {
+    let pair = |(name, quota): &(&str, Quota)| (Organisation::from(*name), quota.clone());
+    names.iter().map(pair).collect()
+}
+
+fn admission(names: &[(&str, Quota)]) -> Admission {
+    let mut admission = Admission::new(Options::default());
+    admission.configure(&quotas(names), Millis(0));
+    admission
+}
--- /dev/null
+++ b/crates/cumin-admit/tests/all/shares.rs
@@ -0,0 +1,191 @@
+use cumin_admit::{Amounts, Demand, Quota, ShareOptions, Shares};
+use cumin_types::{Millis, NodeName, Organisation};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const LIMIT: f64 = 1000.0;
+
+struct Cluster {
+    names: Vec<NodeName>,
+    shares: Vec<Shares>,
+    /// Arrival time, receiver, sender, report.
+    flying: Vec<(u64, usize, usize, Demand)>,
+    org: Organisation,
+    quota: Quota,
+}
+
+impl Cluster {
+    fn new(nodes: usize) -> Self {
+        let names: Vec<NodeName> = (0..nodes).map(|i| format!("n{i}").into()).collect();
+        let make = |name: &NodeName| Shares::new(ShareOptions::default(), name.clone(), 1000);
+        Self {
+            shares: names.iter().map(make).collect(),
+            names,
+            flying: Vec::new(),
+            org: Organisation::from("bakers"),
+            quota: Quota {
+                rate: Some(LIMIT),
+                ..Quota::default()
+            },
+        }
+    }
+
+    fn report(&mut self, node: usize, wanted: f64) -> Demand {
+        let wanted = Amounts {
+            requests: wanted,
+            ..Amounts::default()
+        };
+        self.shares[node].demand([(&self.org, &self.quota, wanted)])
+    }
+
+    fn deliver(&mut self, live: &[Vec<NodeName>], now: u64) {
+        let (due, rest) = std::mem::take(&mut self.flying)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.flying = rest;
+        let due: Vec<(u64, usize, usize, Demand)> = due;
+        for (node, live) in live.iter().enumerate() {
+            let reports: Vec<(NodeName, Demand)> = due
+                .iter()
+                .filter(|(_, to, ..)| *to == node)
+                .map(|(_, _, from, report)| (self.names[*from].clone(), report.clone()))
+                .collect();
+            self.shares[node].rebalance(&reports, live, Millis(now));
+        }
+    }
+
+    fn grant(&self, node: usize) -> f64 {
+        let grant = self.shares[node].grant(&self.org, &self.quota);
+        grant.requests.expect("a limit")
+    }
+
+    fn sum(&self) -> f64 {
+        (0..self.names.len()).map(|node| self.grant(node)).sum()
+    }
+}
+
+fn exchange(cluster: &mut Cluster, wanted: &[f64], rounds: u64, from: u64) {
+    let live = vec![cluster.names.clone(); wanted.len()];
+    for round in 0..rounds {
+        for (node, want) in wanted.iter().enumerate() {
+            let report = cluster.report(node, *want);
+            for to in (0..wanted.len()).filter(|to| *to != node) {
+                cluster.flying.push((0, to, node, report.clone()));
+            }
+        }
+        cluster.deliver(&live, from + round);
+    }
+}
+
+/// Guards against shares that sum to more than the limit while reports are late, lost,
+/// repeated or out of order, nodes restart, and every node knows the same live nodes.
+#[test]
+fn shares_stay_within_the_limit() {
+    let mut highest = 0.0_f64;
+    for seed in 0..400 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = rng.random_range(2..=6);
+        let mut cluster = Cluster::new(nodes);
+        let loss = rng.random_range(0.0..0.9);
+        let delay = rng.random_range(1..=40_u64);
+        let live = vec![cluster.names.clone(); nodes];
+        cluster.deliver(&live, 0);
+        for now in 1..=200_u64 {
+            for from in 0..nodes {
+                if rng.random_bool(0.5) {
+                    continue;
+                }
+                let wanted = [0.0, 1.0, 100.0, 10_000.0][rng.random_range(0..4)];
+                let report = cluster.report(from, wanted);
+                for to in (0..nodes).filter(|to| *to != from) {
+                    for _ in 0..rng.random_range(1..=2) {
+                        if !rng.random_bool(loss) {
+                            let at = now + rng.random_range(0..=delay);
+                            cluster.flying.push((at, to, from, report.clone()));
+                        }
+                    }
+                }
+            }
+            if rng.random_bool(0.005) {
+                let node = rng.random_range(0..nodes);
+                let name = cluster.names[node].clone();
+                cluster.shares[node] =
+                    Shares::new(ShareOptions::default(), name, 1000 + now * 1000);
+            }
+            cluster.deliver(&live, now * 100);
+            cluster.flying.iter_mut().for_each(|report| report.0 += 99);
+            let sum = cluster.sum();
+            highest = highest.max(sum);
+            assert!(sum <= LIMIT * (1.0 + 1e-9), "seed {seed} at {now}: {sum}");
+        }
+    }
+    println!("highest sum of shares: {highest:.3} of {LIMIT}");
+    assert!(highest > LIMIT * 0.9, "the schedules never used the limit");
+}
+
+/// Guards against a node that keeps a share it does not need while another is short.
+#[test]
+fn shares_follow_demand() {
+    let mut cluster = Cluster::new(4);
+    exchange(&mut cluster, &[0.0; 4], 5, 0);
+    let even = cluster.grant(0);
+    exchange(&mut cluster, &[10_000.0, 0.0, 0.0, 0.0], 5, 10);
+    println!(
+        "even share {even:.0}, share of the busy node {:.0}",
+        cluster.grant(0)
+    );
+    assert!((even - LIMIT / 4.0).abs() < 1.0);
+    assert!(cluster.grant(0) > 0.9 * LIMIT);
+    exchange(&mut cluster, &[0.0, 10_000.0, 0.0, 0.0], 5, 20);
+    assert!(cluster.grant(1) > 0.9 * LIMIT);
+    assert!(cluster.grant(0) < 0.1 * LIMIT);
+}
+
+/// Guards against a joining node that raises the sum by more than its floor, and against a
+/// join that takes the others' shares until it reports.
+#[test]
+fn joining_node_adds_its_floor() {
+    let mut cluster = Cluster::new(4);
+    let wanted = [500.0, 500.0, 500.0];
+    let names = cluster.names.clone();
+    let old = vec![names[..3].to_vec(); 3];
+    cluster.deliver(&old, 0);
+    for round in 0..5 {
+        for (node, want) in wanted.iter().enumerate() {
+            let report = cluster.report(node, *want);
+            for to in (0..3).filter(|to| *to != node) {
+                cluster.flying.push((0, to, node, report.clone()));
+            }
+        }
+        cluster.deliver(&old, round);
+    }
+    let before = cluster.grant(0);
+    for live in [
+        [&names[..3], &names[..3], &names[..3], &names[..]],
+        [&names[..], &names[..3], &names[..], &names[..]],
+        [&names[..], &names[..], &names[..], &names[..]],
+    ] {
+        let live: Vec<Vec<NodeName>> = live.iter().map(|names| names.to_vec()).collect();
+        cluster.deliver(&live, 100);
+        let floor = ShareOptions::default().floor;
+        assert!(
+            cluster.sum() <= LIMIT * (1.0 + floor / 4.0) + 1e-6,
+            "{}",
+            cluster.sum()
+        );
+        assert!(cluster.grant(0) > 0.9 * before);
+    }
+}
+
+/// Guards against a share that grows when nothing is heard from the others.
+#[test]
+fn unheard_node_has_only_its_floor() {
+    let mut cluster = Cluster::new(4);
+    let live = vec![cluster.names.clone(); 4];
+    for now in [0, 1000, 60_000] {
+        cluster.report(0, 10_000.0);
+        cluster.deliver(&live, now);
+        let floor = LIMIT * ShareOptions::default().floor / 4.0;
+        assert!((cluster.grant(0) - floor).abs() < 1e-6);
+    }
+}
--- /dev/null
+++ b/crates/cumin-retry/tests/all/budget.rs
@@ -0,0 +1,172 @@
+use cumin_retry::{Decision, Failure, Fault, GiveUp, RetryOptions, RetryPolicy};
+use cumin_types::{Millis, RequestId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use uuid::Uuid;
+
+use crate::endpoint;
+
+fn failure(fault: Fault) -> Failure {
+    Failure {
+        request: RequestId(Uuid::from_u128(1)),
+        idempotent: true,
+        fault,
+        endpoint: endpoint(0),
+        attempts: 1,
+        tried: vec![endpoint(0)],
+        candidates: (0..4).map(endpoint).collect(),
+        deadline: Millis(30_000),
+        estimate: Millis(100),
+    }
+}
+
+/// Guards against a retry storm: with every endpoint failing, attempts stay under 1.2 times
+/// requests at rates from 2 to 1000 requests a second, steady and in bursts.
+#[test]
+fn attempts_stay_under_the_budget() {
+    for (seed, gap) in [(0, 1), (1, 10), (2, 100), (3, 500), (4, 1), (5, 20)] {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut policy = RetryPolicy::new(RetryOptions::default());
+        let requests = 10_000_u64;
+        let burst = if seed >= 4 { 1000 } else { 1 };
+        let mut waiting = BinaryHeap::new();
+        for id in 0..requests {
+            waiting.push(Reverse((id / burst * burst * gap, id, 0_u32)));
+        }
+        let mut attempts = 0_u64;
+        let mut kept = 0_u64;
+        while let Some(Reverse((now, id, made))) = waiting.pop() {
+            attempts += 1;
+            if made == 0 {
+                policy.first(Millis(now));
+            }
+            let fault = [Fault::Broken, Fault::Refused, Fault::Stalled][rng.random_range(0..3)];
+            let failed = Failure {
+                attempts: made + 1,
+                deadline: Millis(id / burst * burst * gap + 30_000),
+                ..failure(fault)
+            };
+            if let Decision::Retry { after, .. } = policy.decide(&failed, Millis(now), &mut rng) {
+                kept += 1;
+                waiting.push(Reverse((now + after.0.max(1), id, made + 1)));
+            }
+        }
+        println!("gap {gap} ms, burst {burst}: {attempts} attempts of {requests} requests, {kept} retries");
+        assert!(attempts * 10 < requests * 12, "gap {gap}: {attempts}");
+        assert!(kept > requests / 20, "the budget was not used");
+    }
+}
+
+/// Guards against a second run of a call that may have taken effect.
+#[test]
+fn only_unstarted_calls_are_repeated() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for (fault, repeated) in [
+        (Fault::Refused, true),
+        (Fault::NotStarted, true),
+        (Fault::Broken, false),
+        (Fault::Stalled, false),
+        (Fault::Status(500), false),
+        (Fault::Status(503), false),
+        (Fault::Moved, false),
+    ] {
+        let mut policy = RetryPolicy::new(RetryOptions::default());
+        let failed = Failure {
+            idempotent: false,
+            ..failure(fault)
+        };
+        match policy.decide(&failed, Millis(0), &mut rng) {
+            Decision::Retry { .. } => assert!(repeated, "{fault}"),
+            Decision::GiveUp { reason, .. } => {
+                assert!(!repeated, "{fault}");
+                assert_eq!(reason, GiveUp::NotIdempotent);
+            }
+        }
+    }
+}
+
+/// Guards against a retry at an endpoint that failed while another is left.
+#[test]
+fn tried_endpoints_are_excluded() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut excluded = |tried: &[usize], candidates: usize| {
+        let failed = Failure {
+            tried: tried.iter().copied().map(endpoint).collect(),
+            candidates: (0..candidates).map(endpoint).collect(),
+            ..failure(Fault::Broken)
+        };
+        let mut policy = RetryPolicy::new(RetryOptions::default());
+        match policy.decide(&failed, Millis(0), &mut rng) {
+            Decision::Retry { exclude, .. } => Ok(exclude),
+            Decision::GiveUp { reason, .. } => Err(reason),
+        }
+    };
+    assert_eq!(excluded(&[1, 0], 3), Ok(vec![endpoint(1), endpoint(0)]));
+    assert_eq!(excluded(&[1, 0], 2), Ok(vec![endpoint(0)]), "all tried: not the last one again");
+    assert_eq!(excluded(&[0], 1), Ok(vec![]), "the only one is tried again");
+    assert_eq!(excluded(&[0], 0), Err(GiveUp::NoEndpoint));
+}
+
+/// Guards against attempts after the deadline, and against back-off without jitter.
+#[test]
+fn back_off_stays_within_the_deadline() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut delays = Vec::new();
+    for attempts in 1..=12 {
+        for _ in 0..200 {
+            let mut policy = RetryPolicy::new(RetryOptions::default());
+            let failed = Failure {
+                attempts,
+                deadline: Millis(1000),
+                ..failure(Fault::Broken)
+            };
+            match policy.decide(&failed, Millis(0), &mut rng) {
+                Decision::Retry { after, .. } => {
+                    assert!(after.0 + 100 <= 1000);
+                    assert!(after.0 <= 50 << (attempts - 1));
+                    delays.push(after.0);
+                }
+                Decision::GiveUp { reason, .. } => assert_eq!(reason, GiveUp::Deadline),
+            }
+        }
+    }
+    delays.sort_unstable();
+    delays.dedup();
+    assert!(delays.len() > 100, "the delays are not spread");
+}
+
+/// Guards against requests that fail when one crash takes more of them than the budget holds:
+/// they wait for the budget.
+#[test]
+fn crash_burst_waits_for_the_budget() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut policy = RetryPolicy::new(RetryOptions::default());
+    for now in 0..1000 {
+        policy.first(Millis(now * 20));
+    }
+    let mut delays: Vec<u64> = (0..35)
+        .map(|_| match policy.decide(&failure(Fault::Broken), Millis(20_000), &mut rng) {
+            Decision::Retry { after, .. } => after.0,
+            Decision::GiveUp { reason, .. } => panic!("given up: {reason}"),
+        })
+        .collect();
+    delays.sort_unstable();
+    println!("35 retries at 50 requests a second: the last starts after {} ms", delays[34]);
+    // 20 are saved up; 15 more take about 3 s at 10% of 50 a second.
+    assert!(delays[34] < 5000);
+    assert!(delays[19] <= 50);
+}
+
+/// Guards against announced moves that use up the budget of failures.
+#[test]
+fn moves_take_no_budget() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut policy = RetryPolicy::new(RetryOptions::default());
+    for _ in 0..1000 {
+        let moved = policy.decide(&failure(Fault::Moved), Millis(0), &mut rng);
+        assert!(matches!(moved, Decision::Retry { after: Millis(0), .. }));
+    }
+    assert!((policy.budget() - 5.0).abs() < 1e-9);
+}
--- /dev/null
+++ b/crates/cumin-retry/tests/all/main.rs
@@ -0,0 +1,19 @@
+//! Tests of retries and quarantine.
+
+mod budget;
+mod ejection;
+mod fuzz;
+mod hedging;
+mod innocents;
+mod poison;
+mod records;
+
+use cumin_types::{EndpointName, Fingerprint, Organisation};
+
+fn endpoint(index: usize) -> EndpointName {
+    EndpointName::from(format!("e{index:02}"))
+}
+
+fn print(id: u64) -> Fingerprint {
+    Fingerprint::of(&Organisation::from("bakers"), "crumb", &id.to_le_bytes())
+}
