Make suspects wait for a known reservation, and test the quarantine

Two nodes could also keep the same endpoint free and wait for each other until the deadline. A reservation is now used only after 1.5 s, in which the others learn of it; of two nodes the first by name has a contested endpoint; a judgement waits 3 s for records.

--- a/crates/cumin-retry/src/evidence.rs
+++ b/crates/cumin-retry/src/evidence.rs
@@ -197,16 +197,21 @@
             .max()
     }
 
-    /// Returns the endpoints kept free by other nodes than `node`.
-    pub fn reserved(&self, node: &NodeName, now: Millis) -> BTreeSet<EndpointName> {
-        self.records
-            .iter()
-            .filter(|(key, record)| key.0 != *node && record.expires > now)
-            .filter_map(|(_, record)| match &record.state {
-                State::Reserved { endpoint } => Some(endpoint.clone()),
-                _ => None,
-            })
-            .collect()
+    /// Returns the endpoints kept free by other nodes than `node`, each with the first such
+    /// node by name.
+    pub fn reserved(&self, node: &NodeName, now: Millis) -> BTreeMap<EndpointName, NodeName> {
+        let mut kept = BTreeMap::new();
+        for (key, record) in &self.records {
+            if let State::Reserved { endpoint } = &record.state
+                && key.0 != *node
+                && record.expires > now
+            {
+                // Records are ordered by author.
+                kept.entry(endpoint.clone())
+                    .or_insert_with(|| key.0.clone());
+            }
+        }
+        kept
     }
 
     /// Clears the records of a fingerprint for which `which` is true.
--- a/crates/cumin-retry/src/lib.rs
+++ b/crates/cumin-retry/src/lib.rs
@@ -9,6 +9,7 @@
 mod evidence;
 mod policy;
 mod quarantine;
+mod reserve;
 mod verdict;
 
 pub use eject::{EjectOptions, EjectReason, Ejector, Report, Usable};
--- a/crates/cumin-retry/src/quarantine.rs
+++ b/crates/cumin-retry/src/quarantine.rs
@@ -7,11 +7,12 @@
 //! is quarantined when all others aboard the last one were in fewer. Nodes exchange their
 //! records, and wait for those of the others before they judge.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use cumin_types::{EndpointName, Fingerprint, Millis, NodeName, WallMillis, score};
 
 use crate::evidence::{Evidence, Limits, Quarantined, State};
+use crate::reserve::{RESERVED, Reservations};
 use crate::verdict::{Candidate, Choice, Crash, End, Rejection, Verdict, WaitReason};
 
 /// Settings of [`Quarantine`].
@@ -23,6 +24,8 @@
     pub started: WallMillis,
     /// Time from a crash to a judgement, in which the records of other nodes arrive.
     pub confirm: Millis,
+    /// Time from a reservation to its use, in which the other nodes learn of it.
+    pub settle: Millis,
     /// Time that a request stays a suspect.
     pub suspicion: Millis,
     /// Time that a request stays quarantined.
@@ -50,7 +53,8 @@
         Self {
             node: NodeName::from("node"),
             started: WallMillis(0),
-            confirm: Millis(1500),
+            confirm: Millis(3000),
+            settle: Millis(1500),
             suspicion: Millis(120_000),
             quarantine: Millis(600_000),
             hold: Millis(5000),
@@ -67,17 +71,6 @@
 /// How soon a waiting suspect is looked at again.
 const AGAIN: Millis = Millis(100);
 
-/// A reservation that is not renewed ends after this time.
-const RESERVED: Millis = Millis(5000);
-
-#[derive(Debug)]
-struct Reservation {
-    until: Millis,
-    print: Fingerprint,
-    /// Whether a suspect was placed there; else it is still being emptied.
-    used: bool,
-}
-
 /// Suspects and quarantined requests, as one node knows them.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -86,7 +79,7 @@
     /// Attempts of this node in flight, oldest first.
     flights: HashMap<EndpointName, Vec<Fingerprint>>,
     /// Endpoints that this node keeps free of other work.
-    reserved: BTreeMap<EndpointName, Reservation>,
+    reserved: Reservations,
     number: u64,
 }
 
@@ -105,7 +98,7 @@
         Self {
             evidence: Evidence::new(limits),
             flights: HashMap::new(),
-            reserved: BTreeMap::new(),
+            reserved: Reservations::default(),
             number: options.started.0,
             options,
         }
@@ -158,91 +151,97 @@
         estimate: Millis,
         now: Millis,
     ) -> Choice {
-        self.reserved.retain(|_, kept| kept.until > now);
+        self.reserved.prune(now);
         let crashes = self.evidence.suspicions(print, now);
         let urgent = left.0 < estimate.0.saturating_mul(2).saturating_add(AGAIN.0);
         if let Some(reason) = self.must_wait(print, &crashes, now)
             && (reason == WaitReason::Same || !urgent)
         {
-            return Choice::Wait {
-                reason,
-                endpoint: None,
-                after: AGAIN,
-            };
+            return wait(reason, None);
+        }
+        if candidates.is_empty() {
+            return Choice::None;
         }
-        let foreign = self.evidence.reserved(&self.options.node, now);
+        let foreign = self.foreign(now);
         let mut usable: Vec<&Candidate> = candidates
             .iter()
             .filter(|candidate| self.apart(print, &candidate.endpoint, now))
             .collect();
-        usable.sort_by_key(|candidate| {
-            let order = score(&print.0.0, candidate.endpoint.as_str());
-            (
-                foreign.contains(&candidate.endpoint),
-                candidate.running,
-                order,
-            )
+        usable.sort_by_key(|Candidate { endpoint, running }| {
+            let order = score(&print.0.0, endpoint.as_str());
+            (foreign.contains(endpoint), *running, order)
         });
-        let Some(least) = usable.first() else {
-            let empty = candidates.is_empty();
-            let wait = Choice::Wait {
-                reason: WaitReason::Share,
-                endpoint: None,
-                after: AGAIN,
-            };
-            return if empty { Choice::None } else { wait };
-        };
+        let choice = self.run_now(&usable, &foreign, crashes.len(), urgent, now);
+        if let Some(endpoint) = choice.as_ref().and_then(Choice::endpoint).cloned() {
+            if !matches!(choice, Some(Choice::Exposed { .. }))
+                && let Some(print) = self.reserved.run(&endpoint, *print, estimate, now)
+            {
+                let left = estimate.plus(RESERVED.0);
+                self.note(print, State::Reserved { endpoint }, left, now);
+            }
+            return choice.unwrap_or(Choice::None);
+        }
+        self.reserved.wait(*print, now);
+        for (endpoint, print) in self.reserved.renew(now) {
+            self.note(print, State::Reserved { endpoint }, RESERVED, now);
+        }
+        let most = most(candidates.len(), self.options.share);
+        let room = self.reserved.len() == 0 || self.reserved.len() + foreign.len() < most;
+        let next = usable.iter().find(|candidate| {
+            let name = &candidate.endpoint;
+            !foreign.contains(name) && self.reserved.get(name).is_none()
+        });
+        match next.filter(|_| room && self.reserved.short()) {
+            Some(Candidate { endpoint, .. }) => {
+                let endpoint = endpoint.clone();
+                self.reserved.add(&endpoint, *print, now);
+                let state = State::Reserved {
+                    endpoint: endpoint.clone(),
+                };
+                self.note(*print, state, RESERVED, now);
+                wait(WaitReason::Draining, Some(endpoint))
+            }
+            None if self.reserved.short() => wait(WaitReason::Share, None),
+            None => wait(WaitReason::Draining, None),
+        }
+    }
+
+    /// Returns where a suspect of `crashes` crashes runs now, if anywhere. `usable` is in
+    /// order of preference.
+    fn run_now(
+        &self,
+        usable: &[&Candidate],
+        foreign: &BTreeSet<EndpointName>,
+        crashes: usize,
+        urgent: bool,
+        now: Millis,
+    ) -> Option<Choice> {
         let idle = |candidate: &&&Candidate| {
             candidate.running == 0
                 && !foreign.contains(&candidate.endpoint)
                 && !self.flights.contains_key(&candidate.endpoint)
         };
-        let taken = self.reserved.len() + foreign.len();
-        let room = taken < most(candidates.len(), self.options.share);
-        let own = |candidate: &&&Candidate| {
-            self.reserved
-                .get(&candidate.endpoint)
-                .is_some_and(|kept| kept.print == *print)
+        // The others must know of a reservation before it is used: else suspects of one crash
+        // but of different nodes meet at the only idle endpoint.
+        let settled = |candidate: &&&Candidate| {
+            let kept = self.reserved.get(&candidate.endpoint);
+            kept.is_some_and(|kept| now.since(kept.since) >= self.options.settle.0)
         };
-        let alone = usable
-            .iter()
-            .filter(idle)
-            .find(|candidate| room || own(candidate))
-            .map(|candidate| candidate.endpoint.clone());
-        if let Some(endpoint) = alone {
-            self.reserve(&endpoint, *print, Some(estimate), now);
-            return Choice::Alone { endpoint };
+        let mut ready = usable.iter().filter(idle);
+        if let Some(candidate) = ready.find(|candidate| urgent || settled(candidate)) {
+            let endpoint = candidate.endpoint.clone();
+            return Some(Choice::Alone { endpoint });
         }
-        if crashes.len() < 2
-            && let Some((endpoint, suspects)) = self.beside(&usable, now)
+        if crashes < 2
+            && let Some((endpoint, suspects)) = self.beside(usable, now)
         {
-            return Choice::Beside { endpoint, suspects };
-        }
-        let (least, running) = (least.endpoint.clone(), least.running);
-        if urgent {
-            return Choice::Exposed {
-                endpoint: least,
-                running,
-            };
-        }
-        let kept = usable
-            .iter()
-            .find(own)
-            .map(|candidate| candidate.endpoint.clone());
-        if let Some(endpoint) = kept.or_else(|| room.then_some(least)) {
-            self.reserve(&endpoint, *print, None, now);
-            let endpoint = Some(endpoint);
-            return Choice::Wait {
-                reason: WaitReason::Draining,
-                endpoint,
-                after: AGAIN,
-            };
-        }
-        Choice::Wait {
-            reason: WaitReason::Share,
-            endpoint: None,
-            after: AGAIN,
+            return Some(Choice::Beside { endpoint, suspects });
         }
+        let least = usable.first().filter(|_| urgent)?;
+        Some(Choice::Exposed {
+            endpoint: least.endpoint.clone(),
+            running: least.running,
+        })
     }
 
     /// Counts an attempt that is sent to an endpoint.
@@ -261,9 +260,11 @@
             }
             if flights.is_empty() {
                 self.flights.remove(endpoint);
+                if let Some(print) = self.reserved.idle(endpoint, now) {
+                    self.clear_reservation(&print, endpoint, now);
+                }
             }
         }
-        self.release_endpoint(endpoint, now);
         if end == End::Done {
             self.evidence
                 .clear(print, now, |state| matches!(state, State::Suspect { .. }));
@@ -274,7 +275,7 @@
     /// notice announced that. All attempts in flight there have ended.
     pub fn crashed(&mut self, endpoint: &EndpointName, now: Millis) -> Crash {
         let mut prints = self.flights.remove(endpoint).unwrap_or_default();
-        self.release_endpoint(endpoint, now);
+        self.unreserve(endpoint, now);
         // A request that crashes an endpoint mostly does so soon after it starts.
         prints.reverse();
         let mut seen = HashSet::new();
@@ -303,9 +304,9 @@
     /// Returns the endpoints that get no ordinary work, because suspects run or will run there.
     #[must_use]
     pub fn reserved(&self, now: Millis) -> Vec<EndpointName> {
-        let mut names = self.evidence.reserved(&self.options.node, now);
-        let own = self.reserved.iter().filter(|(_, kept)| kept.until > now);
-        names.extend(own.map(|(name, _)| name.clone()));
+        let others = self.evidence.reserved(&self.options.node, now);
+        let own = self.reserved.names(now).cloned();
+        let names: BTreeSet<EndpointName> = others.into_keys().chain(own).collect();
         names.into_iter().collect()
     }
 
@@ -352,6 +353,23 @@
         self.evidence.len()
     }
 
+    /// Returns the endpoints that are left to suspects of other nodes. When two nodes keep the
+    /// same endpoint free, the first by name has it and the other looks elsewhere; otherwise
+    /// both would wait for it.
+    fn foreign(&mut self, now: Millis) -> BTreeSet<EndpointName> {
+        let others = self.evidence.reserved(&self.options.node, now);
+        let mut foreign = BTreeSet::new();
+        for (endpoint, node) in others {
+            match self.reserved.get(&endpoint) {
+                Some(kept) if kept.used || self.options.node < node => continue,
+                Some(_) => self.unreserve(&endpoint, now),
+                None => {}
+            }
+            foreign.insert(endpoint);
+        }
+        foreign
+    }
+
     fn guilty(&self, print: &Fingerprint, count: u32, last: u64, now: Millis) -> bool {
         let mut others = self.evidence.aboard(last, now);
         others.remove(print);
@@ -406,47 +424,23 @@
             let flights = self.flights.get(&candidate.endpoint)?;
             let all = number(flights.len());
             let only = candidate.running <= all && flights.iter().all(suspect);
-            let kept = self.reserved.contains_key(&candidate.endpoint);
+            let kept = self.reserved.get(&candidate.endpoint).is_some();
             (kept && only).then(|| (candidate.endpoint.clone(), all))
         })
     }
 
-    /// Keeps an endpoint free, for a suspect that runs for `estimate` or one that waits.
-    fn reserve(
-        &mut self,
-        endpoint: &EndpointName,
-        print: Fingerprint,
-        estimate: Option<Millis>,
-        now: Millis,
-    ) {
-        let used = estimate.is_some();
-        let left = estimate.unwrap_or_default().plus(RESERVED.0);
-        let until = now.plus(left.0);
-        if let Some(kept) = self.reserved.get_mut(endpoint) {
-            kept.used |= used;
-            if kept.print == print && kept.until >= now.plus(left.0 / 2) {
-                return;
-            }
+    fn unreserve(&mut self, endpoint: &EndpointName, now: Millis) {
+        if let Some(print) = self.reserved.remove(endpoint) {
+            self.clear_reservation(&print, endpoint, now);
         }
-        let kept = Reservation { until, print, used };
-        self.reserved.insert(endpoint.clone(), kept);
-        let endpoint = endpoint.clone();
-        self.note(print, State::Reserved { endpoint }, left, now);
     }
 
-    /// Ends the reservation of an endpoint where the last suspect of this node has ended.
-    fn release_endpoint(&mut self, endpoint: &EndpointName, now: Millis) {
-        let used = self.reserved.get(endpoint).is_some_and(|kept| kept.used);
-        if !used || self.flights.contains_key(endpoint) {
-            return;
-        }
-        if let Some(kept) = self.reserved.remove(endpoint) {
-            self.evidence.clear(
-                &kept.print,
-                now,
-                |state| matches!(state, State::Reserved { endpoint: other } if other == endpoint),
-            );
-        }
+    fn clear_reservation(&mut self, print: &Fingerprint, endpoint: &EndpointName, now: Millis) {
+        self.evidence.clear(
+            print,
+            now,
+            |state| matches!(state, State::Reserved { endpoint: other } if other == endpoint),
+        );
     }
 
     fn note(&mut self, fingerprint: Fingerprint, state: State, left: Millis, now: Millis) {
@@ -466,6 +460,15 @@
     }
 }
 
+/// Makes the choice to wait.
+const fn wait(reason: WaitReason, endpoint: Option<EndpointName>) -> Choice {
+    Choice::Wait {
+        reason,
+        endpoint,
+        after: AGAIN,
+    }
+}
+
 fn number(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/cumin-retry/tests/all/poison.rs
@@ -0,0 +1,303 @@
+use std::collections::BTreeMap;
+
+use cumin_retry::{Candidate, End, Quarantine, QuarantineOptions, Quarantined, Verdict};
+use cumin_types::{Fingerprint, Millis, NodeName};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{endpoint, print};
+
+const NODES: usize = 4;
+const ENDPOINTS: usize = 20;
+const GOOD: u64 = 200;
+const RESENT: u32 = 20;
+const TICK: u64 = 10;
+const POISON: u64 = 1_000_000;
+const DEADLINE: u64 = 60_000;
+
+#[derive(Clone, Copy)]
+enum Place {
+    /// Looks for an endpoint at this time.
+    Waiting(u64),
+    /// Runs at an endpoint until this time.
+    Running(usize, u64),
+}
+
+struct Job {
+    print: Fingerprint,
+    node: usize,
+    place: Place,
+    duration: u64,
+    deadline: u64,
+}
+
+struct Cluster {
+    rng: ChaCha8Rng,
+    nodes: Vec<Quarantine>,
+    alive: Vec<bool>,
+    /// Running requests at the last load report.
+    reported: Vec<u32>,
+    jobs: BTreeMap<u64, Job>,
+    flying: Vec<(u64, usize, Vec<Quarantined>)>,
+    now: u64,
+    crashes: u32,
+    done: u64,
+    failed: Vec<u64>,
+    rejected: u32,
+}
+
+impl Cluster {
+    fn new(seed: u64) -> Self {
+        let node = |index| {
+            Quarantine::new(QuarantineOptions {
+                node: NodeName::from(format!("n{index}")),
+                ..QuarantineOptions::default()
+            })
+        };
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            nodes: (0..NODES).map(node).collect(),
+            alive: vec![true; ENDPOINTS],
+            reported: vec![0; ENDPOINTS],
+            jobs: BTreeMap::new(),
+            flying: Vec::new(),
+            now: 0,
+            crashes: 0,
+            done: 0,
+            failed: Vec::new(),
+            rejected: 0,
+        }
+    }
+
+    fn send(&mut self, id: u64, print: Fingerprint, duration: u64) {
+        let job = Job {
+            print,
+            node: self.rng.random_range(0..NODES),
+            place: Place::Waiting(self.now),
+            duration,
+            deadline: self.now + DEADLINE,
+        };
+        self.jobs.insert(id, job);
+    }
+
+    /// Requests at an endpoint, as the node sees them: late reports and its own.
+    fn running(&self, node: usize, index: usize) -> u32 {
+        let own = self
+            .jobs
+            .values()
+            .filter(|job| job.node == node)
+            .filter(|job| matches!(job.place, Place::Running(at, _) if at == index))
+            .count();
+        self.reported[index].max(u32::try_from(own).expect("small"))
+    }
+
+    fn choose(&mut self, node: usize, print: &Fingerprint, left: u64) -> Option<usize> {
+        let now = Millis(self.now);
+        let live: Vec<usize> = (0..ENDPOINTS).filter(|index| self.alive[*index]).collect();
+        match self.nodes[node].check(print, now) {
+            Verdict::Clear => {
+                let kept = self.nodes[node].reserved(now);
+                let free: Vec<usize> = live
+                    .into_iter()
+                    .filter(|index| !kept.contains(&endpoint(*index)))
+                    .collect();
+                let pair: Vec<&usize> = free.choose_multiple(&mut self.rng, 2).collect();
+                pair.into_iter()
+                    .copied()
+                    .min_by_key(|index| self.running(node, *index))
+            }
+            Verdict::Suspect { .. } => {
+                let candidates: Vec<Candidate> = live
+                    .iter()
+                    .map(|index| Candidate {
+                        endpoint: endpoint(*index),
+                        running: self.running(node, *index),
+                    })
+                    .collect();
+                let (left, estimate) = (Millis(left), Millis(1500));
+                let choice =
+                    self.nodes[node].place_suspect(print, &candidates, left, estimate, now);
+                let chosen = choice.endpoint()?;
+                live.into_iter().find(|index| endpoint(*index) == *chosen)
+            }
+            Verdict::Hold { .. } => None,
+            Verdict::Rejected(_) => unreachable!("checked by the caller"),
+        }
+    }
+
+    fn dispatch(&mut self, id: u64) {
+        let now = self.now;
+        let Job {
+            print,
+            node,
+            duration,
+            deadline,
+            ..
+        } = self.jobs[&id];
+        if now >= deadline {
+            self.jobs.remove(&id);
+            self.failed.push(id);
+            return;
+        }
+        if let Verdict::Rejected(_) = self.nodes[node].check(&print, Millis(now)) {
+            self.jobs.remove(&id);
+            if id >= POISON {
+                self.rejected += 1;
+            } else {
+                self.failed.push(id);
+            }
+            return;
+        }
+        let place = match self.choose(node, &print, deadline - now) {
+            Some(index) => {
+                self.nodes[node].started(&print, &endpoint(index));
+                Place::Running(index, now + duration)
+            }
+            None => Place::Waiting(now + 50),
+        };
+        self.jobs.get_mut(&id).expect("a job").place = place;
+    }
+
+    fn crash(&mut self, index: usize) {
+        self.alive[index] = false;
+        self.crashes += 1;
+        for node in 0..NODES {
+            let aboard: Vec<u64> = self
+                .jobs
+                .iter()
+                .filter(|(_, job)| job.node == node)
+                .filter(|(_, job)| matches!(job.place, Place::Running(at, _) if at == index))
+                .map(|(id, _)| *id)
+                .collect();
+            if !aboard.is_empty() {
+                self.nodes[node].crashed(&endpoint(index), Millis(self.now));
+            }
+            for id in aboard {
+                self.jobs.get_mut(&id).expect("a job").place = Place::Waiting(self.now + 20);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        if now.is_multiple_of(200) {
+            for index in 0..ENDPOINTS {
+                let at = |job: &&Job| matches!(job.place, Place::Running(at, _) if at == index);
+                let count = self.jobs.values().filter(at).count();
+                self.reported[index] = u32::try_from(count).expect("small");
+            }
+            for from in 0..NODES {
+                let to = (from + self.rng.random_range(1..NODES)) % NODES;
+                let records = self.nodes[from].gossip(Millis(now));
+                if self.rng.random_bool(0.8) {
+                    let at = now + self.rng.random_range(10..200);
+                    self.flying.push((at, to, records));
+                }
+            }
+        }
+        for (_, to, records) in self.flying.extract_if(.., |(at, ..)| *at <= now) {
+            self.nodes[to].merge(&records, Millis(now));
+        }
+        for id in self.jobs.keys().copied().collect::<Vec<u64>>() {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            match job.place {
+                Place::Waiting(until) if until <= now => self.dispatch(id),
+                Place::Running(index, until) if until <= now => {
+                    if id >= POISON {
+                        self.crash(index);
+                    } else {
+                        let (node, print) = (job.node, job.print);
+                        self.nodes[node].ended(&print, &endpoint(index), End::Done, Millis(now));
+                        self.jobs.remove(&id);
+                        self.done += 1;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+struct Seen {
+    crashes: u32,
+    done: u64,
+    failed: Vec<u64>,
+    rejected: u32,
+    longest: u64,
+}
+
+/// Runs 200 good requests that arrive over `span` and one poisonous request whose caller sends
+/// it again as soon as it is answered.
+fn run(seed: u64, span: u64) -> Seen {
+    let mut cluster = Cluster::new(seed);
+    let mut arrivals: Vec<u64> = (0..GOOD)
+        .map(|_| cluster.rng.random_range(0..span))
+        .collect();
+    arrivals.sort_unstable();
+    let first = cluster.rng.random_range(0..span);
+    let mut sent = 0;
+    let mut next = 0;
+    let mut longest = 0;
+    while cluster.now < 200_000 {
+        while next < arrivals.len() && arrivals[next] <= cluster.now {
+            let duration = cluster.rng.random_range(300..1500);
+            cluster.send(next as u64, print(next as u64), duration);
+            next += 1;
+        }
+        let poison = cluster.jobs.keys().any(|id| *id >= POISON);
+        if cluster.now >= first && sent < RESENT && !poison {
+            let duration = cluster.rng.random_range(50..300);
+            cluster.send(POISON + u64::from(sent), print(POISON), duration);
+            sent += 1;
+        }
+        if next == arrivals.len() && sent == RESENT && cluster.jobs.is_empty() {
+            break;
+        }
+        cluster.tick();
+        let age = |job: &Job| cluster.now + DEADLINE - job.deadline;
+        longest = cluster
+            .jobs
+            .values()
+            .map(age)
+            .max()
+            .unwrap_or(0)
+            .max(longest);
+    }
+    Seen {
+        crashes: cluster.crashes,
+        done: cluster.done,
+        failed: cluster.failed,
+        rejected: cluster.rejected,
+        longest,
+    }
+}
+
+/// Guards against a poisonous request that takes the fleet down: it crashes at most 3 of 20
+/// endpoints, every good request completes, and every resent one is answered.
+#[test]
+fn poison_crashes_at_most_three_endpoints() {
+    for span in [500, 2000, 5000, 20_000] {
+        let mut counts = BTreeMap::<u32, u32>::new();
+        let mut longest = 0;
+        for seed in 0..30 {
+            let seen = run(seed, span);
+            *counts.entry(seen.crashes).or_default() += 1;
+            longest = seen.longest.max(longest);
+            assert!(
+                seen.crashes <= 3,
+                "seed {seed} span {span}: {} crashes",
+                seen.crashes
+            );
+            assert_eq!(seen.failed, [0; 0], "seed {seed} span {span}");
+            assert_eq!(seen.done, GOOD, "seed {seed} span {span}");
+            assert_eq!(seen.rejected, RESENT, "seed {seed} span {span}");
+        }
+        println!(
+            "arrivals over {span} ms: runs by crashes {counts:?}, longest request {longest} ms"
+        );
+    }
+}
