--- a/crates/cumin-retry/src/evidence.rs
+++ b/crates/cumin-retry/src/evidence.rs
@@ -148,21 +148,39 @@
 
     /// Returns the crashes that a fingerprint is suspected of, oldest first. A crash with
     /// another fingerprint aboard that is quarantined is explained by that one.
+    ///
+    /// The notes of two nodes on one endpoint can be of one crash however late one arrives, so
+    /// an endpoint counts as often as the node with the most notes on it says.
     pub fn suspicions(&self, print: &Fingerprint, now: Millis) -> Vec<(Millis, u64)> {
-        let mut crashes: Vec<(Millis, u64)> = self
-            .of(print, now)
-            .filter(|(_, record)| matches!(record.state, State::Suspect { .. }))
-            .filter_map(|(_, record)| {
-                let crash = self.crashes.iter().find(|crash| crash.id == record.crash)?;
-                let explained = crash
-                    .aboard
-                    .iter()
-                    .any(|key| key.2 != *print && self.quarantined(&key.2, now).is_some());
-                (!crash.outage && !explained).then_some((crash.at, crash.id))
-            })
-            .collect();
-        crashes.sort_unstable();
-        crashes.dedup();
+        let mut found = BTreeSet::new();
+        let mut notes = BTreeMap::<(&EndpointName, &NodeName), usize>::new();
+        for (key, record) in self.of(print, now) {
+            let crash = self.crashes.iter().find(|crash| crash.id == record.crash);
+            let Some(crash) = crash.filter(|crash| !crash.outage) else {
+                continue;
+            };
+            let explained = crash
+                .aboard
+                .iter()
+                .any(|key| key.2 != *print && self.quarantined(&key.2, now).is_some());
+            if !explained && matches!(record.state, State::Suspect { .. }) {
+                found.insert((crash.at, crash.id, &crash.endpoint));
+                *notes.entry((&crash.endpoint, &key.0)).or_default() += 1;
+            }
+        }
+        let mut most = BTreeMap::<&EndpointName, usize>::new();
+        for ((endpoint, _), count) in notes {
+            let old = most.entry(endpoint).or_default();
+            *old = count.max(*old);
+        }
+        let mut crashes = Vec::with_capacity(found.len());
+        for (at, id, endpoint) in found.into_iter().rev() {
+            if let Some(left) = most.get_mut(endpoint).filter(|left| **left > 0) {
+                *left -= 1;
+                crashes.push((at, id));
+            }
+        }
+        crashes.reverse();
         crashes
     }
 
