Keep suspects of one service from blocking another, and bound gossip

A reservation made for a suspect of one service counted as ready for the suspects of all, so those of another never got one. A service with one endpoint would have been kept free and stopped. Quarantines that all nodes know filled every message for 10 minutes. Reservations are now counted for each service, a lone endpoint is not reserved, and old quarantines take turns.

--- a/crates/cumin-retry/src/evidence.rs
+++ b/crates/cumin-retry/src/evidence.rs
@@ -246,7 +246,9 @@
         }
     }
 
-    /// Returns up to `count` records, those handed out least often first, then the newest.
+    /// Returns up to `count` records, those handed out least often first, then the newest. Of
+    /// the quarantines that were handed out often enough there is one each time, for nodes
+    /// that are new; all of them each time would cost 8 KB a message.
     pub fn gossip(&mut self, count: usize, now: Millis) -> Vec<Quarantined> {
         self.forget(now);
         let sends = self.limits.sends;
@@ -260,7 +262,8 @@
             .map(|(key, record)| (record.sent, std::cmp::Reverse(record.at), key.clone()))
             .collect();
         order.sort_unstable();
-        order.truncate(count);
+        let fresh = order.partition_point(|(sent, ..)| *sent < sends);
+        order.truncate(count.min(fresh + 1));
         let mut items = Vec::with_capacity(order.len());
         for (.., key) in order {
             let Some(record) = self.records.get_mut(&key) else {
--- a/crates/cumin-retry/src/quarantine.rs
+++ b/crates/cumin-retry/src/quarantine.rs
@@ -171,7 +171,9 @@
             let order = score(&print.0.0, endpoint.as_str());
             (foreign.contains(endpoint), *running, order)
         });
-        let choice = self.run_now(&usable, &foreign, crashes.len(), urgent, now);
+        // Keeping the only endpoint free would stop the service.
+        let lone = candidates.len() == 1;
+        let choice = self.run_now(&usable, &foreign, crashes.len(), urgent || lone, now);
         if let Some(endpoint) = choice.as_ref().and_then(Choice::endpoint).cloned() {
             if !matches!(choice, Some(Choice::Exposed { .. }))
                 && let Some(print) = self.reserved.run(&endpoint, *print, estimate, now)
@@ -181,17 +183,23 @@
             }
             return choice.unwrap_or(Choice::None);
         }
-        self.reserved.wait(*print, now);
-        for (endpoint, print) in self.reserved.renew(now) {
+        let among: BTreeSet<&EndpointName> = candidates
+            .iter()
+            .map(|candidate| &candidate.endpoint)
+            .collect();
+        self.reserved
+            .wait(*print, candidates[0].endpoint.clone(), now);
+        for (endpoint, print) in self.reserved.renew(&among, now) {
             self.note(print, State::Reserved { endpoint }, RESERVED, now);
         }
-        let most = most(candidates.len(), self.options.share);
-        let room = self.reserved.len() == 0 || self.reserved.len() + foreign.len() < most;
+        let (own, short) = (self.reserved.count(&among), self.reserved.short(&among));
+        let others = foreign.iter().filter(|name| among.contains(name)).count();
+        let room = own == 0 || own + others < most(candidates.len(), self.options.share);
         let next = usable.iter().find(|candidate| {
             let name = &candidate.endpoint;
             !foreign.contains(name) && self.reserved.get(name).is_none()
         });
-        match next.filter(|_| room && self.reserved.short()) {
+        match next.filter(|_| room && short && !lone) {
             Some(Candidate { endpoint, .. }) => {
                 let endpoint = endpoint.clone();
                 self.reserved.add(&endpoint, *print, now);
@@ -201,7 +209,7 @@
                 self.note(*print, state, RESERVED, now);
                 wait(WaitReason::Draining, Some(endpoint))
             }
-            None if self.reserved.short() => wait(WaitReason::Share, None),
+            None if short => wait(WaitReason::Share, None),
             None => wait(WaitReason::Draining, None),
         }
     }
--- a/crates/cumin-retry/src/reserve.rs
+++ b/crates/cumin-retry/src/reserve.rs
@@ -1,6 +1,6 @@
 //! Endpoints that this node keeps free of ordinary work, to run suspects there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cumin_types::{EndpointName, Fingerprint, Millis};
 
@@ -23,15 +23,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Reservations {
     kept: BTreeMap<EndpointName, Reservation>,
-    /// When each waiting suspect was last asked about.
-    waiting: BTreeMap<Fingerprint, Millis>,
+    /// When each waiting suspect was last asked about, and one endpoint of its service.
+    waiting: BTreeMap<Fingerprint, (Millis, EndpointName)>,
 }
 
 impl Reservations {
     /// Forgets what is over.
     pub fn prune(&mut self, now: Millis) {
         self.kept.retain(|_, kept| kept.until > now);
-        self.waiting.retain(|_, asked| now.since(*asked) < WAITS);
+        self.waiting
+            .retain(|_, (asked, _)| now.since(*asked) < WAITS);
     }
 
     pub fn get(&self, endpoint: &EndpointName) -> Option<&Reservation> {
@@ -43,26 +44,37 @@
         self.kept.iter().filter(live).map(|(name, _)| name)
     }
 
-    pub fn len(&self) -> usize {
-        self.kept.len()
+    /// Returns how many endpoints of a service are reserved; `among` are its endpoints.
+    pub fn count(&self, among: &BTreeSet<&EndpointName>) -> usize {
+        self.kept.keys().filter(|name| among.contains(name)).count()
     }
 
-    /// Returns whether more suspects wait than endpoints are being made ready for them.
-    pub fn short(&self) -> bool {
-        let unused = self.kept.values().filter(|kept| !kept.used).count();
-        unused < self.waiting.len()
+    /// Returns whether more suspects of a service wait than endpoints are made ready for them.
+    pub fn short(&self, among: &BTreeSet<&EndpointName>) -> bool {
+        let unused =
+            |(name, kept): &(&EndpointName, &Reservation)| !kept.used && among.contains(name);
+        let waiting = self
+            .waiting
+            .values()
+            .filter(|(_, name)| among.contains(name));
+        self.kept.iter().filter(unused).count() < waiting.count()
     }
 
-    pub fn wait(&mut self, print: Fingerprint, now: Millis) {
-        self.waiting.insert(print, now);
+    pub fn wait(&mut self, print: Fingerprint, service: EndpointName, now: Millis) {
+        self.waiting.insert(print, (now, service));
     }
 
-    /// Returns the reservations, with their fingerprints, that need a new record because a
-    /// suspect still waits for them.
-    pub fn renew(&mut self, now: Millis) -> Vec<(EndpointName, Fingerprint)> {
+    /// Returns the reservations of a service, with their fingerprints, that need a new record
+    /// because a suspect still waits for them.
+    pub fn renew(
+        &mut self,
+        among: &BTreeSet<&EndpointName>,
+        now: Millis,
+    ) -> Vec<(EndpointName, Fingerprint)> {
         let mut renewed = Vec::new();
         for (name, kept) in &mut self.kept {
-            if !kept.used && kept.until < now.plus(RESERVED.0 / 2) {
+            let ends = kept.until < now.plus(RESERVED.0 / 2);
+            if !kept.used && ends && among.contains(name) {
                 kept.until = now.plus(RESERVED.0);
                 renewed.push((name.clone(), kept.print));
             }
--- a/crates/cumin-retry/src/verdict.rs
+++ b/crates/cumin-retry/src/verdict.rs
@@ -105,7 +105,7 @@
         /// Suspects there.
         suspects: u32,
     },
-    /// Beside other work, because its deadline leaves no time to wait.
+    /// Beside other work: its deadline leaves no time to wait, or it is the only endpoint.
     Exposed {
         /// The endpoint.
         endpoint: EndpointName,
--- a/crates/cumin-retry/tests/all/innocents.rs
+++ b/crates/cumin-retry/tests/all/innocents.rs
@@ -236,6 +236,50 @@
     assert_eq!(other.reserved(Millis(1600)), [endpoint(1), endpoint(2)]);
 }
 
+/// Guards against a service whose only endpoint is kept free for suspects, and against
+/// suspects of one service that wait for those of another.
+#[test]
+fn services_keep_running() {
+    let mut one = node("n1");
+    crash(&mut one, 0, &[1, 2], 0);
+    let exposed = Choice::Exposed {
+        endpoint: endpoint(0),
+        running: 7,
+    };
+    assert_eq!(place(&mut one, 1, &[7], 60_000, 100), exposed);
+    one.started(&print(1), &endpoint(0));
+    let wait = place(&mut one, 2, &[7], 60_000, 100);
+    assert!(
+        matches!(wait, Choice::Wait { .. }),
+        "beside one of the same crash: {wait}"
+    );
+    assert_eq!(one.reserved(Millis(100)), []);
+
+    crash(&mut one, 20, &[3], 5000);
+    crash(&mut one, 21, &[4], 5000);
+    let other = |index: usize| Candidate {
+        endpoint: endpoint(30 + index),
+        running: 5,
+    };
+    let others: Vec<Candidate> = (0..3).map(other).collect();
+    let (left, estimate) = (Millis(60_000), Millis(1000));
+    let draining = |choice| {
+        matches!(
+            choice,
+            Choice::Wait {
+                endpoint: Some(_),
+                ..
+            }
+        )
+    };
+    assert!(draining(place(&mut one, 3, &[9, 9, 5, 5], 60_000, 5100)));
+    let choice = one.place_suspect(&print(4), &others, left, estimate, Millis(5100));
+    assert!(
+        draining(choice),
+        "the other service's reservation is not for it"
+    );
+}
+
 /// Guards against two runs of one suspect at once, at one node or at two.
 #[test]
 fn suspect_runs_once_at_a_time() {
--- a/crates/cumin-retry/tests/all/records.rs
+++ b/crates/cumin-retry/tests/all/records.rs
@@ -144,3 +144,29 @@
         );
     }
 }
+
+/// Guards against quarantines that fill every message for as long as they last, and against
+/// nodes that join later and never learn of them.
+#[test]
+fn old_quarantines_take_turns() {
+    let mut one = node("n1");
+    for (index, now) in [(0, 0), (1, 20_000)] {
+        for id in 0..10 {
+            let name = endpoint(usize::try_from(id).expect("small") * 2 + index);
+            one.started(&print(id), &name);
+            one.crashed(&name, Millis(now + id * 2000));
+        }
+    }
+    let now = Millis(60_000);
+    assert!((0..10).all(|id| matches!(one.check(&print(id), now), Verdict::Rejected(_))));
+    for _ in 0..100 {
+        one.gossip(now);
+    }
+    let mut other = node("n2");
+    for _ in 0..10 {
+        let records = one.gossip(now);
+        assert_eq!(records.len(), 1);
+        other.merge(&records, now);
+    }
+    assert_eq!(other.list(now).len(), 10);
+}
