Probe the log after a given-up batch; bound a lease's path without a base

Cause: in an outage each batch that was given up let the next one be sent, so that claims which need not have been sent became uncertain. A grant that named no base was accepted on the log's time alone, also from a candidate that had lost nothing, which a forward step of the log's clock would have let through. Change: after a given-up batch the writer reads before it sends again; only a candidate whose fold lost records may grant without a base. The lease machine now cuts peers off, sets the log's clock forward and runs whole rounds. Conclusion: during an outage one batch per shard is uncertain, the rest unsent.

--- a/crates/cumin-state/src/entry.rs
+++ b/crates/cumin-state/src/entry.rs
@@ -10,8 +10,11 @@
 use crate::claim::{Answer, Claim, Ending, Refusal, Settle, Stage, Standing};
 use crate::recorder::{Ask, Verdict};
 
-/// Milliseconds between two submissions of one record.
+/// Milliseconds between two submissions of one claim.
 pub const RESUBMIT: u64 = 500;
+/// Milliseconds between two submissions of one ending at most; the time doubles up to it, so
+/// that endings left over from an outage do not fill the recorder's queue.
+pub const RESUBMIT_MAX: u64 = 8_000;
 
 /// What the entry does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +52,8 @@
     deadline: Millis,
     state: State,
     next: Millis,
+    /// Submissions of the ending.
+    tries: u32,
 }
 
 impl Call {
@@ -61,6 +66,7 @@
             deadline,
             state,
             next: Millis(0),
+            tries: 0,
         }
     }
 
@@ -115,7 +121,9 @@
             }),
             State::Running | State::Over => return None,
         };
-        self.next = now.plus(RESUBMIT);
+        let ending = matches!(self.state, State::Recording(_));
+        self.next = now.plus((RESUBMIT << self.tries.min(8)).min(RESUBMIT_MAX));
+        self.tries += u32::from(ending);
         Some(Step::Submit(ask))
     }
 
--- a/crates/cumin-state/src/lease.rs
+++ b/crates/cumin-state/src/lease.rs
@@ -37,6 +37,9 @@
         holder: Author,
         /// The lease's last record, `None` when there is none.
         after: Option<LogOffset>,
+        /// The candidate's fold lost records and cannot name the last one.
+        #[serde(default)]
+        lost: bool,
         /// Milliseconds.
         ttl: u64,
     },
@@ -149,23 +152,26 @@
         self.table.get(lease)
     }
 
+    /// True when records were lost once, so that a lease may be missing here.
+    #[must_use]
+    pub fn forgot(&self) -> bool {
+        self.unknown > WallMillis(0)
+    }
+
     fn grant(
         &self,
-        wall: WallMillis,
         lease: &str,
         holder: &Author,
         after: Option<LogOffset>,
+        lost: bool,
     ) -> Result<(), Refusal> {
         let Some(held) = self.table.get(lease) else {
-            return if wall < self.unknown {
-                Err(Refusal::Forgotten)
-            } else {
-                Ok(())
-            };
+            let known = self.time >= self.unknown;
+            return known.then_some(()).ok_or(Refusal::Forgotten);
         };
-        let expired = held.expired(wall);
-        // A candidate whose fold lost records names none; the log's time alone decides.
-        if after != Some(held.last) && !(after.is_none() && expired) {
+        let expired = held.expired(self.time);
+        // For a candidate that cannot name the last record the log's time alone decides.
+        if after != Some(held.last) && !(lost && expired) {
             return Err(Refusal::Overtaken);
         }
         if expired || held.holder == *holder {
@@ -189,10 +195,11 @@
                 lease,
                 holder,
                 after,
+                lost,
                 ttl,
             } => {
                 check_ttl(ttl)?;
-                self.grant(self.time, &lease, &holder, after)?;
+                self.grant(&lease, &holder, after, lost)?;
                 let token = FencingToken(at.offset.0);
                 let (last, wall) = (at.offset, self.time);
                 let held = Lease {
--- a/crates/cumin-state/src/lease/clock.rs
+++ b/crates/cumin-state/src/lease/clock.rs
@@ -187,11 +187,13 @@
         let id = new_id(wall, rng);
         self.propose(now, wall, id);
         let after = known.map(|lease| lease.last);
+        let (holder, lost) = (self.me.clone(), known.is_none() && leases.forgot());
         Some(Record::Grant {
             id,
             lease,
-            holder: self.me.clone(),
+            holder,
             after,
+            lost,
             ttl,
         })
     }
--- a/crates/cumin-state/src/writer.rs
+++ b/crates/cumin-state/src/writer.rs
@@ -93,6 +93,14 @@
     Repeat,
 }
 
+/// Whether the log was reached since the last batch was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    Known,
+    Unknown { until: Millis, failures: u32 },
+    Reading { failures: u32 },
+}
+
 #[derive(Clone, Debug)]
 struct Flight {
     batch: RecordId,
@@ -118,6 +126,7 @@
     tickets: u64,
     attempts: u64,
     pace_at: Option<Millis>,
+    reach: Reach,
     counts: Counts,
     out: Vec<Effect>,
 }
@@ -136,6 +145,7 @@
             tickets: 0,
             attempts: 0,
             pace_at: None,
+            reach: Reach::Known,
             counts: Counts::default(),
             out: Vec::new(),
         }
@@ -212,8 +222,12 @@
             Phase::Repeat => Some(self.pace_at.unwrap_or_default()),
             Phase::Sent { .. } | Phase::Reading => None,
         });
-        let start = (self.flight.is_none() && !self.queue.is_empty())
-            .then(|| self.pace_at.unwrap_or_default());
+        let start = match self.reach {
+            Reach::Known => Some(self.pace_at.unwrap_or_default()),
+            Reach::Unknown { until, .. } => Some(until),
+            Reach::Reading { .. } => None,
+        };
+        let start = start.filter(|_| self.flight.is_none() && !self.queue.is_empty());
         let flying = self
             .flight
             .iter()
@@ -231,6 +245,15 @@
     /// Takes an answer of the log.
     pub fn on(&mut self, now: Millis, input: Input<'_>, rng: &mut impl Rng) {
         let Some(flight) = self.flight.as_mut() else {
+            match (input, self.reach) {
+                (Input::Read { .. }, _) => self.reach = Reach::Known,
+                (Input::ReadFailed, Reach::Reading { failures }) => {
+                    let until = now.plus(wait(&self.options, failures, rng));
+                    let failures = failures + 1;
+                    self.reach = Reach::Unknown { until, failures };
+                }
+                _ => {}
+            }
             return;
         };
         match input {
@@ -273,18 +296,9 @@
         let Some(flight) = self.flight.as_mut() else {
             return;
         };
-        let Options {
-            retry, retry_max, ..
-        } = self.options;
-        let ceiling = retry
-            .saturating_mul(1 << flight.failures.min(16))
-            .min(retry_max)
-            .max(1);
+        let until = now.plus(wait(&self.options, flight.failures, rng));
         flight.failures += 1;
-        let wait = rng.random_range(ceiling.div_ceil(2)..=ceiling);
-        flight.phase = Phase::Backoff {
-            until: now.plus(wait),
-        };
+        flight.phase = Phase::Backoff { until };
     }
 
     fn read(&mut self, from: LogOffset, page: &Records) {
@@ -324,12 +338,30 @@
     ) -> Vec<Effect> {
         self.expire(now);
         self.proceed(now, pace);
-        if self.flight.is_none() && !self.queue.is_empty() && self.may_send(now, pace) {
+        self.probe(now);
+        let may = self.flight.is_none() && self.reach == Reach::Known;
+        if may && !self.queue.is_empty() && self.may_send(now, pace) {
             self.start(wall, rng);
         }
         std::mem::take(&mut self.out)
     }
 
+    /// Reads before a new batch is sent after one was given up, so that what is submitted
+    /// during an outage stays unsent and can be reported so.
+    fn probe(&mut self, now: Millis) {
+        let Reach::Unknown { until, failures } = self.reach else {
+            return;
+        };
+        if self.flight.is_none() && !self.queue.is_empty() && until <= now {
+            self.reach = Reach::Reading { failures };
+            self.out.push(Effect::Read {
+                stream: self.stream,
+                from: self.known,
+                limit: 1,
+            });
+        }
+    }
+
     fn expire(&mut self, now: Millis) {
         let out = &mut self.out;
         self.queue.retain(|item| {
@@ -363,6 +395,14 @@
         }
         if !at_log && flight.items.iter().all(|item| item.told) {
             self.counts.abandoned += 1;
+            let until = match flight.phase {
+                Phase::Backoff { until } => until,
+                _ => now,
+            };
+            self.reach = Reach::Unknown {
+                until,
+                failures: flight.failures,
+            };
             self.flight = None;
         }
     }
@@ -482,3 +522,13 @@
         });
     }
 }
+
+/// Milliseconds to wait after so many failures: doubling up to the bound, upper half at random.
+fn wait(options: &Options, failures: u32, rng: &mut impl Rng) -> u64 {
+    let ceiling = options
+        .retry
+        .saturating_mul(1 << failures.min(16))
+        .min(options.retry_max)
+        .max(1);
+    rng.random_range(ceiling.div_ceil(2)..=ceiling)
+}
--- a/crates/cumin-state/tests/all/append_rate.rs
+++ b/crates/cumin-state/tests/all/append_rate.rs
@@ -12,6 +12,7 @@
 use cumin_state::writer;
 use cumin_types::{ClaimKey, Millis, WallMillis};
 use rand::Rng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::model::{Log, START, author, catch_up, id, key, print, rng, wall};
 
@@ -112,42 +113,7 @@
             let ticket = recorder.submit(Millis(now), wall(Millis(now)), ask, Millis(now + 30_000));
             open.insert((shard, ticket), claim);
         }
-        while answers.front().is_some_and(|(at, ..)| *at <= now) {
-            let Some((_, shard, effect)) = answers.pop_front() else {
-                break;
-            };
-            let recorder = find(&mut sites, shard);
-            match effect {
-                Effect::Append {
-                    stream,
-                    batch,
-                    body,
-                    ..
-                } => {
-                    let offset = log.append(stream, body, wall(Millis(now)));
-                    let input = Input::Append(writer::Input::Appended { batch, offset });
-                    recorder.on(Millis(now), input, &mut rng);
-                }
-                Effect::Read {
-                    stream,
-                    from,
-                    limit,
-                    purpose,
-                } => {
-                    let page = log.read(stream, from, limit);
-                    recorder.on(
-                        Millis(now),
-                        Input::Read {
-                            purpose,
-                            from,
-                            page: &page,
-                        },
-                        &mut rng,
-                    );
-                }
-                Effect::Answer { .. } => {}
-            }
-        }
+        deliver(&mut log, &mut sites, &mut answers, now, &mut rng);
         for site in &mut sites {
             site.recorders
                 .sort_by_key(|(_, recorder)| recorder.waiting_since());
@@ -186,6 +152,52 @@
     figures
 }
 
+/// Lets the log answer what was sent [`LOG_DELAY`] ago.
+fn deliver(
+    log: &mut Log,
+    sites: &mut [Site],
+    answers: &mut VecDeque<(u64, u32, Effect)>,
+    now: u64,
+    rng: &mut ChaCha8Rng,
+) {
+    while answers.front().is_some_and(|(at, ..)| *at <= now) {
+        let Some((_, shard, effect)) = answers.pop_front() else {
+            break;
+        };
+        let recorder = find(sites, shard);
+        match effect {
+            Effect::Append {
+                stream,
+                batch,
+                body,
+                ..
+            } => {
+                let offset = log.append(stream, body, wall(Millis(now)));
+                let input = Input::Append(writer::Input::Appended { batch, offset });
+                recorder.on(Millis(now), input, rng);
+            }
+            Effect::Read {
+                stream,
+                from,
+                limit,
+                purpose,
+            } => {
+                let page = log.read(stream, from, limit);
+                recorder.on(
+                    Millis(now),
+                    Input::Read {
+                        purpose,
+                        from,
+                        page: &page,
+                    },
+                    rng,
+                );
+            }
+            Effect::Answer { .. } => {}
+        }
+    }
+}
+
 fn settle(claim: &Claim) -> Settle {
     let answer = Answer::new(200, None, "booked".into(), 1024);
     let ending = Ending::Done { answer };
--- a/crates/cumin-state/tests/all/lease_fuzz.rs
+++ b/crates/cumin-state/tests/all/lease_fuzz.rs
@@ -48,6 +48,17 @@
     Release {
         peer: usize,
     },
+    /// Everybody who reaches the log is served and reads.
+    Round,
+    /// A peer is cut off from the log, and can still send orders.
+    Cut {
+        peer: usize,
+        on: bool,
+    },
+    /// The log's clock is set forward.
+    Jump {
+        ms: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -71,7 +82,7 @@
 
     fn transitions(_: &Vec<Move>) -> BoxedStrategy<Move> {
         let peer = 0..PEERS;
-        let ms = prop_oneof![1..100u64, 500..3_000u64, 8_000..16_000u64];
+        let ms = prop_oneof![2 => 1..100u64, 4 => 500..2_500u64, 1 => 8_000..16_000u64];
         prop_oneof![
             10 => ms.prop_map(|ms| Move::Advance { ms }),
             8 => peer.clone().prop_map(|peer| Move::Read { peer }),
@@ -81,6 +92,9 @@
             2 => (peer.clone(), any::<bool>(), any::<bool>())
                 .prop_map(|(peer, on, frozen)| Move::Pause { peer, on, frozen }),
             1 => peer.clone().prop_map(|peer| Move::Restart { peer }),
+            8 => Just(Move::Round),
+            2 => (peer.clone(), any::<bool>()).prop_map(|(peer, on)| Move::Cut { peer, on }),
+            1 => (1..20_000u64).prop_map(|ms| Move::Jump { ms }),
             1 => peer.prop_map(|peer| Move::Release { peer }),
         ]
         .boxed()
@@ -102,6 +116,8 @@
     frozen: [Option<u64>; PEERS],
     hidden: [u64; PEERS],
     orders: Vec<Order>,
+    cut: [bool; PEERS],
+    jumped: u64,
 }
 
 fn options() -> Options {
@@ -124,14 +140,30 @@
     }
 
     fn step(&mut self, step: Move) {
-        let at = WallMillis(START + self.now);
+        let at = WallMillis(START + self.now + self.jumped);
         match step {
             Move::Advance { ms } => self.now += ms,
-            Move::Read { peer } if !self.net.peers[peer].paused => self.read(peer),
+            Move::Read { peer } if !self.net.peers[peer].paused && !self.cut[peer] => {
+                self.read(peer);
+            }
             Move::Deliver { index, fate } => {
                 let clocks: Vec<Clock> = (0..PEERS).map(|peer| self.clock(peer)).collect();
+                let from = self.net.wires.get(index % self.net.wires.len().max(1));
+                let cut = from.is_some_and(|wire| self.cut[wire.peer()]);
+                let fate = if cut { Fate::Dropped } else { fate };
                 self.net.deliver(index, fate, at, |peer| clocks[peer]);
             }
+            Move::Round => {
+                for _ in 0..self.net.wires.len() {
+                    let fate = Fate::Served;
+                    self.step(Move::Deliver { index: 0, fate });
+                }
+                for peer in 0..PEERS {
+                    self.step(Move::Read { peer });
+                }
+            }
+            Move::Cut { peer, on } => self.cut[peer] = on,
+            Move::Jump { ms } => self.jumped += ms,
             Move::Land { index } => self.net.land(index, at),
             Move::Order { peer } if !self.net.peers[peer].paused => self.order(peer),
             Move::Pause { peer, on, frozen } => {
@@ -250,6 +282,8 @@
             frozen: [None; PEERS],
             hidden: [0; PEERS],
             orders: Vec::new(),
+            cut: [false; PEERS],
+            jumped: 0,
         }
     }
 
@@ -265,6 +299,7 @@
                 on: false,
                 frozen: false,
             });
+            system.step(Move::Cut { peer, on: false });
         }
         while !system.net.late.is_empty() {
             system.step(Move::Land { index: 0 });
--- a/crates/cumin-state/tests/all/net.rs
+++ b/crates/cumin-state/tests/all/net.rs
@@ -42,6 +42,14 @@
     },
 }
 
+impl Wire {
+    pub fn peer(&self) -> usize {
+        match self {
+            Self::Append { peer, .. } | Self::Read { peer, .. } => *peer,
+        }
+    }
+}
+
 pub struct Net<S> {
     pub log: Log,
     pub stream: Stream,
