--- a/crates/cumin-state/tests/all/claim_world.rs
+++ b/crates/cumin-state/tests/all/claim_world.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 
-use cumin_state::batch::{Author, Batch, Stream};
-use cumin_state::claim::{self, Answer, Claim, Claims, Ending, Kept, Stage};
+use cumin_state::batch::{Author, Stream};
+use cumin_state::claim::{Answer, Claim, Ending, Kept};
 use cumin_state::entry::{Call, Step};
 use cumin_state::fold::Retention;
 use cumin_state::pace::Pace;
@@ -82,7 +82,7 @@
     },
 }
 
-enum Wire {
+pub enum Wire {
     Append {
         node: usize,
         life: u64,
@@ -100,7 +100,7 @@
 }
 
 #[derive(Clone)]
-enum Letter {
+pub enum Letter {
     Submit {
         from: usize,
         life: u64,
@@ -117,12 +117,12 @@
     },
 }
 
-struct Node {
-    life: u64,
+pub struct Node {
+    pub life: u64,
     paused: bool,
-    recorder: Option<Recorder>,
+    pub recorder: Option<Recorder>,
     waiting: BTreeMap<Ticket, (usize, u64, RecordId, Ask)>,
-    calls: Vec<Call>,
+    pub calls: Vec<Call>,
     pace: Pace,
 }
 
@@ -140,15 +140,15 @@
 pub struct World {
     pub log: Log,
     pub now: Millis,
-    nodes: Vec<Node>,
-    wires: Vec<Wire>,
-    late: Vec<Value>,
-    letters: Vec<Letter>,
+    pub nodes: Vec<Node>,
+    pub wires: Vec<Wire>,
+    pub late: Vec<Value>,
+    pub letters: Vec<Letter>,
     dispatches: Vec<Dispatch>,
     /// Claims whose callers were told that nothing ran.
     not_run: Vec<RecordId>,
     outage: bool,
-    trimmed: bool,
+    pub trimmed: bool,
     claims: u64,
     rng: ChaCha8Rng,
 }
@@ -534,129 +534,6 @@
             }
         }
     }
-
-    /// Compares every fold with a replay of the same prefix, and with a plain scan of the list.
-    pub fn check(&self) {
-        for node in &self.nodes {
-            let Some(recorder) = node.recorder.as_ref() else {
-                continue;
-            };
-            let fold = recorder.fold();
-            if self.trimmed || fold.seeking() {
-                continue;
-            }
-            let replay = self
-                .log
-                .replay(STREAM, Claims::new(options().claims), fold.position().0);
-            assert_eq!(&replay, fold, "two folds of one prefix differ");
-        }
-        let next = self.log.next(STREAM);
-        let replay = self.log.replay(STREAM, Claims::new(options().claims), next);
-        for (key, holder) in self.holders() {
-            let slot = replay
-                .state()
-                .slot(&key)
-                .expect("a claimed key is on record");
-            assert_eq!(
-                slot.held.as_ref().map(|held| held.claim),
-                holder,
-                "holder of {key}"
-            );
-        }
-    }
-
-    /// Who holds each key by a plain scan: the first claim that its author has not freed.
-    fn holders(&self) -> BTreeMap<ClaimKey, Option<RecordId>> {
-        let mut holders: BTreeMap<ClaimKey, Option<RecordId>> = BTreeMap::new();
-        let mut over: Vec<RecordId> = Vec::new();
-        let mut freed: Vec<RecordId> = Vec::new();
-        let mut batches: Vec<RecordId> = Vec::new();
-        for record in self.log.streams.get(&STREAM).into_iter().flatten() {
-            let batch = Batch::read(&record.body).expect("a batch");
-            // Of a batch that was appended twice only the first copy counts.
-            if batches.contains(&batch.id) {
-                continue;
-            }
-            batches.push(batch.id);
-            for value in batch.records {
-                match serde_json::from_value(value) {
-                    Ok(claim::Record::Claim(claim)) => {
-                        let holder = holders.entry(claim.key).or_default();
-                        if holder.is_none() && !freed.contains(&claim.id) {
-                            *holder = Some(claim.id);
-                        }
-                    }
-                    Ok(claim::Record::Settle(settle)) => {
-                        let holder = holders.entry(settle.key).or_default();
-                        let own = *holder == Some(settle.claim);
-                        if settle.ending != Ending::NotRun {
-                            over.extend(own.then_some(settle.claim));
-                        } else if !over.contains(&settle.claim) {
-                            freed.push(settle.claim);
-                            *holder = holder.filter(|_| !own);
-                        }
-                    }
-                    _ => {}
-                }
-            }
-        }
-        holders
-    }
-
-    /// Ends the faults and lets everything settle; then nothing may be left undecided.
-    pub fn heal(&mut self) {
-        self.step(Move::Outage { on: false });
-        for node in 0..NODES {
-            self.step(Move::Pause { node, on: false });
-            self.step(Move::Duty {
-                node,
-                on: node == 0,
-            });
-        }
-        while !self.late.is_empty() {
-            self.step(Move::Land { index: 0 });
-        }
-        for _ in 0..400 {
-            for _ in 0..self.wires.len() {
-                self.step(Move::Deliver {
-                    index: 0,
-                    fate: Fate::Served,
-                });
-            }
-            for _ in 0..self.letters.len() {
-                self.step(Move::Carry {
-                    index: 0,
-                    copies: 1,
-                });
-            }
-            self.step(Move::End {
-                index: 0,
-                ending: 0,
-            });
-            self.step(Move::Advance { ms: 100 });
-        }
-        self.settled();
-    }
-
-    fn settled(&self) {
-        for node in &self.nodes {
-            for call in &node.calls {
-                assert!(call.over(), "{call:?} is not over after the faults ended");
-            }
-        }
-        let lives: Vec<Author> = (0..NODES)
-            .map(|n| author(n as u64, self.nodes[n].life))
-            .collect();
-        let next = self.log.next(STREAM);
-        let fold = self.log.replay(STREAM, Claims::new(options().claims), next);
-        for carried in fold.state().export() {
-            let Some(held) = carried.slot.held else {
-                continue;
-            };
-            let stuck = held.stage == Stage::InFlight && lives.contains(&held.author);
-            assert!(!stuck, "{held:?} is in flight and nobody runs it");
-        }
-    }
 }
 
 impl Node {
--- a/crates/cumin-state/tests/all/duty.rs
+++ b/crates/cumin-state/tests/all/duty.rs
@@ -1,11 +1,13 @@
 //! The recorder's duty: what is answered without the log, on loss of duty and on take-over.
 
 use cumin_state::batch::Stream;
-use cumin_state::claim::{Answer, Claim, Ending, Refusal, Settle, Stage};
+use cumin_state::claim::{Answer, Claim, Ending, Refusal, Settle, Stage, Standing};
+use cumin_state::entry::{Call, Step};
+use cumin_state::fold::Retention;
 use cumin_state::pace::Pace;
 use cumin_state::recorder::{Ask, Effect, Input, Options, Recorder, Ticket, Unsent, Verdict};
 use cumin_state::writer;
-use cumin_types::{Millis, WallMillis};
+use cumin_types::{Millis, Outcome, WallMillis};
 use rand_chacha::ChaCha8Rng;
 
 use crate::model::{Log, START, author, id, key, print, rng, wall};
@@ -245,3 +247,73 @@
         Verdict::Refused(Refusal::Expired)
     );
 }
+
+/// The duty must write snapshots by itself, and one of them must be enough to take over.
+#[test]
+fn snapshots_written() {
+    let retention = Retention {
+        age: u64::MAX,
+        count: 8,
+    };
+    let options = Options {
+        retention,
+        ..Options::default()
+    };
+    let mut bench = Bench::new(1, options);
+    let other = |number| Claim {
+        key: key(number, WallMillis(START)),
+        ..claim(number)
+    };
+    for number in 0..20 {
+        assert_eq!(bench.ask(0, Ask::Claim(other(number))), Verdict::Granted);
+    }
+    bench.log.expire(Stream::Record(0));
+    let kept = bench.log.next(Stream::Record(0)) - bench.log.first(Stream::Record(0));
+    assert!(kept <= retention.count, "{kept} records are needed");
+    bench.recorders[0] = Recorder::new(options, 0, author(1, 1));
+    // The new recorder's tickets begin again.
+    bench.answers.clear();
+    let again = Claim {
+        id: id(99),
+        author: author(1, 1),
+        ..other(3)
+    };
+    assert!(matches!(
+        bench.ask(0, Ask::Claim(again)),
+        Verdict::Exists(_)
+    ));
+    assert_eq!(bench.recorders[0].fold().counts().loaded, 1);
+}
+
+/// A call that ends without its own claim must free that claim: a copy of it may land when
+/// the key's present holder has freed the key, and nobody would run it.
+#[test]
+fn abandoned_claim_freed() {
+    let mut shard = Bench::new(1, Options::default());
+    shard.ask(0, Ask::Claim(claim(1)));
+    let Verdict::Exists(held) = shard.ask(0, Ask::Claim(claim(2))) else {
+        panic!("held")
+    };
+    let others = Standing {
+        print: print("another call"),
+        ..held.clone()
+    };
+    let future = Verdict::Refused(Refusal::Future);
+    for verdict in [Verdict::Exists(held), Verdict::Exists(others), future] {
+        let mut call = Call::new(claim(2), Millis(1_000));
+        let Some(Step::Submit(ask)) = call.poll(Millis(0)) else {
+            panic!("a claim")
+        };
+        assert!(call.verdict(Millis(1), &ask, &verdict, |_| true).is_some());
+        let Some(Step::Submit(Ask::Settle(settle))) = call.poll(Millis(1)) else {
+            panic!("not freed after {verdict:?}")
+        };
+        assert_eq!((settle.claim, settle.ending), (id(2), Ending::NotRun));
+    }
+    let mut unsent = Call::new(claim(2), Millis(0));
+    assert_eq!(
+        unsent.poll(Millis(0)),
+        Some(Step::Tell(Outcome::NotRun, None))
+    );
+    assert!(unsent.over(), "a claim that was never sent needs no record");
+}
--- a/crates/cumin-state/tests/all/fold_fuzz.rs
+++ b/crates/cumin-state/tests/all/fold_fuzz.rs
@@ -340,3 +340,24 @@
     assert!(!fold.snapshot_due(WallMillis(1_199), retention));
     assert!(fold.snapshot_due(WallMillis(1_200), retention));
 }
+
+/// A snapshot whose text was damaged must not be used.
+#[test]
+fn damaged_snapshot_ignored() {
+    let mut log = Log::default();
+    let mut fold = Fold::new(List::default());
+    let records = vec![encode(&Item { number: 1 })];
+    log.append(STREAM, body(1, author(0, 1), records), WallMillis(1));
+    catch_up(&mut fold, &log, STREAM, 10);
+    let mut parts = fold.snapshot(WallMillis(1), &mut rng(1));
+    let text = parts[0]["text"]
+        .as_str()
+        .expect("text")
+        .replace("[1]", "[2]");
+    parts[0]["text"] = text.into();
+    log.append(STREAM, body(2, author(0, 1), parts), WallMillis(2));
+    log.trim(STREAM, 1);
+    let mut fresh = Fold::new(List::default());
+    catch_up(&mut fresh, &log, STREAM, 10);
+    assert!(fresh.state().forgot && fresh.state().items.is_empty());
+}
--- a/crates/cumin-state/tests/all/lease_fuzz.rs
+++ b/crates/cumin-state/tests/all/lease_fuzz.rs
@@ -33,9 +33,6 @@
     Land {
         index: usize,
     },
-    Order {
-        peer: usize,
-    },
     /// A pause; with `frozen` the monotonic clock stands still meanwhile.
     Pause {
         peer: usize,
@@ -48,8 +45,11 @@
     Release {
         peer: usize,
     },
-    /// Everybody who reaches the log is served and reads.
-    Round,
+    /// Everybody who reaches the log is served and reads, so many times with `ms` between.
+    Rounds {
+        count: u64,
+        ms: u64,
+    },
     /// A peer is cut off from the log, and can still send orders.
     Cut {
         peer: usize,
@@ -88,11 +88,10 @@
             8 => peer.clone().prop_map(|peer| Move::Read { peer }),
             8 => (0..4usize, fate()).prop_map(|(index, fate)| Move::Deliver { index, fate }),
             1 => (0..4usize).prop_map(|index| Move::Land { index }),
-            10 => peer.clone().prop_map(|peer| Move::Order { peer }),
             2 => (peer.clone(), any::<bool>(), any::<bool>())
                 .prop_map(|(peer, on, frozen)| Move::Pause { peer, on, frozen }),
             1 => peer.clone().prop_map(|peer| Move::Restart { peer }),
-            8 => Just(Move::Round),
+            8 => (1..40u64, 50..800u64).prop_map(|(count, ms)| Move::Rounds { count, ms }),
             2 => (peer.clone(), any::<bool>()).prop_map(|(peer, on)| Move::Cut { peer, on }),
             1 => (1..20_000u64).prop_map(|ms| Move::Jump { ms }),
             1 => peer.prop_map(|peer| Move::Release { peer }),
@@ -117,6 +116,7 @@
     hidden: [u64; PEERS],
     orders: Vec<Order>,
     cut: [bool; PEERS],
+    sent: u64,
     jumped: u64,
 }
 
@@ -153,19 +153,21 @@
                 let fate = if cut { Fate::Dropped } else { fate };
                 self.net.deliver(index, fate, at, |peer| clocks[peer]);
             }
-            Move::Round => {
-                for _ in 0..self.net.wires.len() {
-                    let fate = Fate::Served;
-                    self.step(Move::Deliver { index: 0, fate });
-                }
-                for peer in 0..PEERS {
-                    self.step(Move::Read { peer });
+            Move::Rounds { count, ms } => {
+                for _ in 0..count {
+                    for _ in 0..self.net.wires.len() {
+                        let fate = Fate::Served;
+                        self.step(Move::Deliver { index: 0, fate });
+                    }
+                    for peer in 0..PEERS {
+                        self.step(Move::Read { peer });
+                    }
+                    self.step(Move::Advance { ms });
                 }
             }
             Move::Cut { peer, on } => self.cut[peer] = on,
             Move::Jump { ms } => self.jumped += ms,
             Move::Land { index } => self.net.land(index, at),
-            Move::Order { peer } if !self.net.peers[peer].paused => self.order(peer),
             Move::Pause { peer, on, frozen } => {
                 if let Some(since) = self.frozen[peer].take() {
                     self.hidden[peer] += self.now - since;
@@ -196,7 +198,7 @@
                     self.submit(peer, clock, encode(&record));
                 }
             }
-            Move::Read { .. } | Move::Order { .. } | Move::Release { .. } => {}
+            Move::Read { .. } | Move::Release { .. } => {}
         }
         self.poll();
     }
@@ -234,6 +236,7 @@
                 self.submit(peer, clock, encode(&record));
             }
             self.net.poll(peer, clock);
+            self.order(peer);
         }
     }
 
@@ -248,6 +251,7 @@
             life: self.net.peers[peer].life,
             token,
         };
+        // The last order of each holder is the one that may still be under way.
         for old in &self.orders {
             let same = old.peer == new.peer && old.life == new.life;
             assert!(
@@ -259,7 +263,10 @@
                 "{new:?} has an older token than {old:?}"
             );
         }
+        self.orders
+            .retain(|old| old.peer != new.peer || old.life != new.life);
         self.orders.push(new);
+        self.sent += 1;
     }
 }
 
@@ -283,6 +290,7 @@
             hidden: [0; PEERS],
             orders: Vec::new(),
             cut: [false; PEERS],
+            sent: 0,
             jumped: 0,
         }
     }
@@ -304,24 +312,12 @@
         while !system.net.late.is_empty() {
             system.step(Move::Land { index: 0 });
         }
-        let before = system.orders.len();
-        for _ in 0..120 {
-            for _ in 0..system.net.wires.len() {
-                system.step(Move::Deliver {
-                    index: 0,
-                    fate: Fate::Served,
-                });
-            }
-            for peer in 0..PEERS {
-                system.step(Move::Read { peer });
-                system.step(Move::Order { peer });
-            }
-            system.step(Move::Advance { ms: 500 });
-        }
-        assert!(
-            system.orders.len() > before,
-            "nobody acts after the faults ended"
-        );
+        let before = system.sent;
+        system.step(Move::Rounds {
+            count: 120,
+            ms: 500,
+        });
+        assert!(system.sent > before, "nobody acts after the faults ended");
         let next = system.net.log.next(Stream::Lease);
         let replay = system
             .net
--- a/crates/cumin-state/tests/all/main.rs
+++ b/crates/cumin-state/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod append;
 mod append_rate;
 mod claim_fuzz;
+mod claim_oracle;
 mod claim_world;
 mod claims;
 mod config_fuzz;
