--- a/crates/cumin-state/tests/all/lease_fuzz.rs
+++ b/crates/cumin-state/tests/all/lease_fuzz.rs
@@ -33,9 +33,6 @@
     Land {
         index: usize,
     },
-    Order {
-        peer: usize,
-    },
     /// A pause; with `frozen` the monotonic clock stands still meanwhile.
     Pause {
         peer: usize,
@@ -48,6 +45,20 @@
     Release {
         peer: usize,
     },
+    /// Everybody who reaches the log is served and reads, so many times with `ms` between.
+    Rounds {
+        count: u64,
+        ms: u64,
+    },
+    /// A peer is cut off from the log, and can still send orders.
+    Cut {
+        peer: usize,
+        on: bool,
+    },
+    /// The log's clock is set forward.
+    Jump {
+        ms: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -71,16 +82,18 @@
 
     fn transitions(_: &Vec<Move>) -> BoxedStrategy<Move> {
         let peer = 0..PEERS;
-        let ms = prop_oneof![1..100u64, 500..3_000u64, 8_000..16_000u64];
+        let ms = prop_oneof![2 => 1..100u64, 4 => 500..2_500u64, 1 => 8_000..16_000u64];
         prop_oneof![
             10 => ms.prop_map(|ms| Move::Advance { ms }),
             8 => peer.clone().prop_map(|peer| Move::Read { peer }),
             8 => (0..4usize, fate()).prop_map(|(index, fate)| Move::Deliver { index, fate }),
             1 => (0..4usize).prop_map(|index| Move::Land { index }),
-            10 => peer.clone().prop_map(|peer| Move::Order { peer }),
             2 => (peer.clone(), any::<bool>(), any::<bool>())
                 .prop_map(|(peer, on, frozen)| Move::Pause { peer, on, frozen }),
             1 => peer.clone().prop_map(|peer| Move::Restart { peer }),
+            8 => (1..40u64, 50..800u64).prop_map(|(count, ms)| Move::Rounds { count, ms }),
+            2 => (peer.clone(), any::<bool>()).prop_map(|(peer, on)| Move::Cut { peer, on }),
+            1 => (1..20_000u64).prop_map(|ms| Move::Jump { ms }),
             1 => peer.prop_map(|peer| Move::Release { peer }),
         ]
         .boxed()
@@ -102,6 +115,9 @@
     frozen: [Option<u64>; PEERS],
     hidden: [u64; PEERS],
     orders: Vec<Order>,
+    cut: [bool; PEERS],
+    sent: u64,
+    jumped: u64,
 }
 
 fn options() -> Options {
@@ -124,16 +140,34 @@
     }
 
     fn step(&mut self, step: Move) {
-        let at = WallMillis(START + self.now);
+        let at = WallMillis(START + self.now + self.jumped);
         match step {
             Move::Advance { ms } => self.now += ms,
-            Move::Read { peer } if !self.net.peers[peer].paused => self.read(peer),
+            Move::Read { peer } if !self.net.peers[peer].paused && !self.cut[peer] => {
+                self.read(peer);
+            }
             Move::Deliver { index, fate } => {
                 let clocks: Vec<Clock> = (0..PEERS).map(|peer| self.clock(peer)).collect();
+                let from = self.net.wires.get(index % self.net.wires.len().max(1));
+                let cut = from.is_some_and(|wire| self.cut[wire.peer()]);
+                let fate = if cut { Fate::Dropped } else { fate };
                 self.net.deliver(index, fate, at, |peer| clocks[peer]);
             }
+            Move::Rounds { count, ms } => {
+                for _ in 0..count {
+                    for _ in 0..self.net.wires.len() {
+                        let fate = Fate::Served;
+                        self.step(Move::Deliver { index: 0, fate });
+                    }
+                    for peer in 0..PEERS {
+                        self.step(Move::Read { peer });
+                    }
+                    self.step(Move::Advance { ms });
+                }
+            }
+            Move::Cut { peer, on } => self.cut[peer] = on,
+            Move::Jump { ms } => self.jumped += ms,
             Move::Land { index } => self.net.land(index, at),
-            Move::Order { peer } if !self.net.peers[peer].paused => self.order(peer),
             Move::Pause { peer, on, frozen } => {
                 if let Some(since) = self.frozen[peer].take() {
                     self.hidden[peer] += self.now - since;
@@ -164,7 +198,7 @@
                     self.submit(peer, clock, encode(&record));
                 }
             }
-            Move::Read { .. } | Move::Order { .. } | Move::Release { .. } => {}
+            Move::Read { .. } | Move::Release { .. } => {}
         }
         self.poll();
     }
@@ -202,6 +236,7 @@
                 self.submit(peer, clock, encode(&record));
             }
             self.net.poll(peer, clock);
+            self.order(peer);
         }
     }
 
@@ -216,6 +251,7 @@
             life: self.net.peers[peer].life,
             token,
         };
+        // The last order of each holder is the one that may still be under way.
         for old in &self.orders {
             let same = old.peer == new.peer && old.life == new.life;
             assert!(
@@ -227,7 +263,10 @@
                 "{new:?} has an older token than {old:?}"
             );
         }
+        self.orders
+            .retain(|old| old.peer != new.peer || old.life != new.life);
         self.orders.push(new);
+        self.sent += 1;
     }
 }
 
@@ -250,6 +289,9 @@
             frozen: [None; PEERS],
             hidden: [0; PEERS],
             orders: Vec::new(),
+            cut: [false; PEERS],
+            sent: 0,
+            jumped: 0,
         }
     }
 
@@ -265,28 +307,17 @@
                 on: false,
                 frozen: false,
             });
+            system.step(Move::Cut { peer, on: false });
         }
         while !system.net.late.is_empty() {
             system.step(Move::Land { index: 0 });
         }
-        let before = system.orders.len();
-        for _ in 0..120 {
-            for _ in 0..system.net.wires.len() {
-                system.step(Move::Deliver {
-                    index: 0,
-                    fate: Fate::Served,
-                });
-            }
-            for peer in 0..PEERS {
-                system.step(Move::Read { peer });
-                system.step(Move::Order { peer });
-            }
-            system.step(Move::Advance { ms: 500 });
-        }
-        assert!(
-            system.orders.len() > before,
-            "nobody acts after the faults ended"
-        );
+        let before = system.sent;
+        system.step(Move::Rounds {
+            count: 120,
+            ms: 500,
+        });
+        assert!(system.sent > before, "nobody acts after the faults ended");
         let next = system.net.log.next(Stream::Lease);
         let replay = system
             .net
