--- a/crates/cumin-route/src/info.rs
+++ b/crates/cumin-route/src/info.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cumin_types::{AttemptId, Cost, EndpointName, Millis, Model, Place, Service};
+use cumin_types::{AttemptId, Cost, EndpointName, Millis, Model, Place, Priority, Service};
 use cumin_wire::cloud::Market;
 use serde::{Deserialize, Serialize};
 
@@ -104,6 +104,8 @@
     pub prompt: u64,
     /// Tokens expected from the endpoint's prefix cache, [`Choice::cached`](crate::Choice).
     pub cached: u64,
+    /// Urgency; engines run a more urgent request first.
+    pub priority: Priority,
 }
 
 /// How an attempt left its endpoint.
--- a/crates/cumin-route/src/policy.rs
+++ b/crates/cumin-route/src/policy.rs
@@ -102,14 +102,11 @@
     Robin,
     /// Fewest requests for its slots; ties at random.
     Least,
-    /// Rendezvous hashing of the first blocks of the prompt.
-    Prefix,
+    /// Rendezvous hashing of this many first blocks of the prompt: more than the instructions
+    /// that different documents share, else all of them go to one endpoint.
+    Prefix(usize),
 }
 
-/// Blocks of the prompt that [`Rule::Prefix`] hashes; longer than the shared instructions of the
-/// workloads, so that different documents spread.
-const PREFIX: usize = 40;
-
 /// A policy without estimates.
 #[derive(Clone, Debug)]
 pub struct Baseline {
@@ -146,8 +143,8 @@
                     .map(|turn| ids[(start + turn) % ids.len()])
                     .min_by(|a, b| self.share(*a).total_cmp(&self.share(*b)))
             }
-            Rule::Prefix => {
-                let last = query.blocks.iter().take(PREFIX).next_back();
+            Rule::Prefix(depth) => {
+                let last = query.blocks.iter().take(depth).next_back();
                 let key = last.map_or_else(|| rng.next_u64(), |hash| *hash);
                 ids.iter().copied().max_by_key(|id| {
                     score(&key.to_le_bytes(), self.view.get(*id).info.name.as_str())
@@ -162,7 +159,7 @@
         match self.rule {
             Rule::Robin => "round-robin",
             Rule::Least => "least-loaded",
-            Rule::Prefix => "prefix-hash",
+            Rule::Prefix(_) => "prefix-hash",
         }
     }
 
--- a/crates/cumin-route/src/pool.rs
+++ b/crates/cumin-route/src/pool.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use cumin_types::{Model, Place, Service};
+use cumin_types::{Model, Place, Priority, Service};
 
 use crate::view::{Endpoint, View};
 
@@ -177,7 +177,7 @@
 pub(crate) fn key(endpoint: &Endpoint, id: usize) -> Key {
     let slots = endpoint.slots().unwrap_or(1);
     (
-        endpoint.ready as u64,
+        endpoint.ready(Priority::Batch) as u64,
         endpoint.active.saturating_mul(1000) / slots,
         id,
     )
--- a/crates/cumin-route/src/reclaim.rs
+++ b/crates/cumin-route/src/reclaim.rs
@@ -1,8 +1,9 @@
 //! Order of the steps that save running requests from endpoints under notice.
 //!
-//! Requests whose KV cache saves most tokens per second of transfer are exported first, as long
+//! Requests that end in time by themselves stay. Those whose KV cache saves most tokens per second of transfer are exported first, as long
 //! as they fit before the notice runs out. The rest resume by re-prefill, the most urgent deadline
-//! first, each where most of its text is cached. The ranking is a function of its arguments alone
+//! first, each where most of its text is cached: streams as late as the margin allows, the others
+//! at once. The ranking is a function of its arguments alone
 //! and takes what is done into account, so a node that takes over midway gets the steps left.
 
 use std::collections::HashMap;
@@ -48,6 +49,9 @@
     pub priority: Priority,
     /// When the whole answer is due.
     pub deadline: Option<Millis>,
+    /// Time until it ends where it is, if its answer takes all the tokens allowed; none where
+    /// that is not known or it does not generate yet.
+    pub rest: Option<Millis>,
     /// Leading tokens of its text that other endpoints cache.
     pub cached: Vec<(EndpointName, u64)>,
     /// How far its move has come.
@@ -97,6 +101,9 @@
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum How {
+    /// Leave it: it ends before the notice runs out.
+    #[display("stay")]
+    Stay,
     /// Export its KV cache, import it at the target, resume there.
     #[display("export")]
     Export,
@@ -115,7 +122,8 @@
 #[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
 #[display(
     "attempt={attempt} from={from} to={} how={how} saved={saved} prefill={prefill} \
-     transfer_ms={transfer:.1} rate={rate:.0} ends_ms={ends:.1}",
+     transfer_ms={transfer:.1} rate={rate:.0} \
+     starts_ms={starts:.1} ends_ms={ends:.1}",
     to.as_ref().map_or("none", |to| to.as_str())
 )]
 pub struct Move {
@@ -123,7 +131,7 @@
     pub attempt: AttemptId,
     /// The endpoint under notice.
     pub from: EndpointName,
-    /// The endpoint that takes it over; none when no target serves its model.
+    /// The endpoint that takes it over; none when it stays or no target serves its model.
     pub to: Option<EndpointName>,
     /// What to do.
     pub how: How,
@@ -135,11 +143,31 @@
     pub transfer: f64,
     /// Tokens saved per second of transfer.
     pub rate: f64,
+    /// When to begin, milliseconds from now.
+    pub starts: f64,
     /// When the transfer ends, milliseconds from now.
     pub ends: f64,
 }
 
-/// Orders the steps that are left to save `running`.
+impl Move {
+    fn stay(request: &Running) -> Self {
+        Self {
+            attempt: request.attempt,
+            from: request.endpoint.clone(),
+            to: None,
+            how: How::Stay,
+            saved: request.tokens,
+            prefill: 0,
+            transfer: 0.0,
+            rate: 0.0,
+            starts: 0.0,
+            ends: 0.0,
+        }
+    }
+}
+
+/// Orders the steps that are left to save `running`. A request that was to stay and still runs
+/// when little time is left is moved by ranking again.
 #[must_use]
 pub fn rank_reclaim(
     running: &[Running],
@@ -150,9 +178,13 @@
     let mut moves = Vec::with_capacity(running.len());
     let mut rest = Vec::new();
     let mut waiting = Vec::new();
+    let limit = options.left.since(options.margin);
     for request in running {
         match &request.step {
             Step::Moved => {}
+            Step::Waiting if request.rest.is_some_and(|rest| rest.0 <= limit) => {
+                moves.push(Move::stay(request));
+            }
             Step::Waiting => waiting.push((plan.rate(request), request)),
             Step::Exported { handle, to } => match plan.import(request, handle, to) {
                 Some(step) => moves.push(step),
@@ -232,8 +264,7 @@
     /// Reserves the transfer if it ends in time; returns when it ends.
     fn reserve(&mut self, request: &'a Running) -> Option<f64> {
         let ends = self.clocks.get(&request.endpoint).unwrap_or(&0.0) + self.time(request);
-        let limit = real(self.options.left.since(self.options.margin));
-        (ends <= limit).then(|| {
+        (ends <= self.limit()).then(|| {
             self.clocks.insert(&request.endpoint, ends);
             ends
         })
@@ -278,6 +309,7 @@
             prefill: 0,
             transfer: self.time(request),
             rate,
+            starts: ends - self.time(request),
             ends,
         }
     }
@@ -310,10 +342,17 @@
             prefill: request.tokens - cached,
             transfer: 0.0,
             rate: 0.0,
+            // A stream goes on meanwhile, loses nothing, and perhaps ends.
+            starts: request.rest.map_or(0.0, |_| self.limit()),
             ends: 0.0,
         }
     }
 
+    /// Returns the time before the margin, milliseconds.
+    fn limit(&self) -> f64 {
+        real(self.options.left.since(self.options.margin))
+    }
+
     /// Returns the target with most room.
     fn roomiest(&self, request: &Running) -> Option<usize> {
         (0..self.targets.len())
--- a/crates/cumin-route/src/router.rs
+++ b/crates/cumin-route/src/router.rs
@@ -18,6 +18,12 @@
 /// the same late reports do not all choose the same endpoint.
 const SPREAD: f64 = 1.0;
 
+/// Slots assumed of an endpoint that does not tell.
+const SLOTS: f64 = 16.0;
+
+/// Occupancy past which the wait for a slot is in the queue term.
+const FULL: f64 = 0.95;
+
 /// Chooses the endpoint with the lowest weighted estimate of the time to the first token.
 #[derive(Clone, Debug)]
 pub struct Router {
@@ -388,7 +394,7 @@
             .as_ref()
             .is_some_and(|place| *place != endpoint.info.place);
         let mut terms = Terms {
-            queue: (endpoint.ready - ms(now)).max(0.0),
+            queue: (endpoint.ready(query.priority) - ms(now)).max(0.0),
             prefill: real(query.prompt - cached) * per,
             transfer: if far { 2.0 * options.hop } else { 0.0 },
             ..Terms::default()
@@ -398,7 +404,7 @@
         } else {
             endpoint.rates.run
         };
-        terms.crowd = crowd(endpoint, if model { step } else { run });
+        terms.crowd = crowd(endpoint, run);
         let busy = terms.prefill + if slots.is_finite() { run / slots } else { run };
         terms.price = options.cost * busy * endpoint.info.price.0 / price;
         terms.repeat = options.recompute * real(deepest.saturating_sub(cached)) * per;
@@ -433,8 +439,10 @@
     }
 }
 
-/// Returns the extra time that one more request takes beside those that the endpoint has.
-fn crowd(endpoint: &Endpoint, step: f64) -> f64 {
-    let slots = endpoint.slots().map_or(16.0, real);
-    real(endpoint.active) / slots * step
+/// Returns the wait that one more request of `run` milliseconds brings on those to come, as in a
+/// queue of this occupancy: small while slots are free, steep before they run out.
+fn crowd(endpoint: &Endpoint, run: f64) -> f64 {
+    let slots = endpoint.slots().map_or(SLOTS, real);
+    let used = (real(endpoint.active) / slots).min(FULL);
+    run / slots * used / (1.0 - used)
 }
--- a/crates/cumin-route/src/view.rs
+++ b/crates/cumin-route/src/view.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 
-use cumin_types::{AttemptId, EndpointName, Millis, Model, Service};
+use cumin_types::{AttemptId, EndpointName, Millis, Model, Priority, Service};
 use cumin_wire::engine::Load;
 
 use crate::{EndpointInfo, Finish, NoEndpoint, Options, OwnLoad, Query, Rates, Work};
@@ -14,11 +14,15 @@
 /// Weight of a new measurement in a moving average.
 const BLEND: f64 = 0.2;
 
+/// Decay of the mix of priorities with each request sent.
+const MIX: f64 = 0.99;
+
 #[derive(Clone, Debug)]
 pub(crate) struct Own {
     pub attempt: AttemptId,
     /// Uncached tokens of the prompt.
     pub tokens: u64,
+    pub priority: Priority,
     pub sent: Millis,
     /// Blocks that the index holds only because of this attempt.
     pub fresh: Vec<u64>,
@@ -33,8 +37,8 @@
     report: Option<(Load, Millis)>,
     /// Attempts of this node that the report counts and that have finished since.
     gone: u64,
-    /// When a request sent now would begin its prefill, milliseconds.
-    pub ready: f64,
+    /// When a request of each priority sent now would begin its prefill, milliseconds.
+    pub ready: [f64; 3],
     /// Requests queued or running.
     pub active: u64,
 }
@@ -48,7 +52,7 @@
             own: Vec::new(),
             report: None,
             gone: 0,
-            ready: 0.0,
+            ready: [0.0; 3],
             active: 0,
         }
     }
@@ -76,29 +80,49 @@
     }
 
     /// Recomputes the estimate from the last report and the own attempts sent after it.
-    fn refresh(&mut self, lag: Millis, now: Millis) {
-        let per = 1000.0 / self.rates.prefill.max(1.0);
+    fn refresh(&mut self, context: Context, now: Millis) {
         let (load, cut) = self.report.map_or((Load::default(), None), |(load, at)| {
-            (load, Some(Millis(at.since(lag))))
+            (load, Some(Millis(at.since(context.lag))))
         });
-        let mut ready = cut.map_or(0.0, |cut| ms(cut) + real(load.backlog) * per);
-        let mut later = 0;
-        for own in &self.own {
-            if cut.is_none_or(|cut| own.sent >= cut) {
-                ready = ready.max(ms(own.sent)) + real(own.tokens) * per;
-                later += 1;
-            }
-        }
+        let later = |own: &&Own| cut.is_none_or(|cut| own.sent >= cut);
         let seen = (load.queued + load.running).saturating_sub(self.gone);
-        self.active = (seen + later).max(self.own.len() as u64);
-        if let Some(slots) = self.slots() {
-            let over = (self.active + 1).saturating_sub(slots);
-            if over > 0 {
-                ready = ready.max(ms(now) + real(over) * self.rates.run / real(slots));
+        let fresh = self.own.iter().filter(later).count() as u64;
+        self.active = (seen + fresh).max(self.own.len() as u64);
+        let per = 1000.0 / self.rates.prefill.max(1.0);
+        for level in LEVELS {
+            let share = context.shares[level as usize];
+            let mut ready = cut.map_or(0.0, |cut| ms(cut) + real(load.backlog) * share * per);
+            for own in self.own.iter().filter(later) {
+                if own.priority <= level {
+                    ready = ready.max(ms(own.sent)) + real(own.tokens) * per;
+                }
+            }
+            if let Some(slots) = self.slots() {
+                let over = (self.active + 1).saturating_sub(slots);
+                if over > 0 {
+                    // Running requests keep their slots; only those that wait are passed over.
+                    let ahead = 1.0 + real(over - 1) * share;
+                    ready = ready.max(ms(now) + ahead * self.rates.run / real(slots));
+                }
             }
+            self.ready[level as usize] = ready;
         }
-        self.ready = ready;
     }
+
+    /// Returns when a request of this priority sent now would begin its prefill, milliseconds.
+    pub(crate) fn ready(&self, priority: Priority) -> f64 {
+        self.ready[priority as usize]
+    }
+}
+
+const LEVELS: [Priority; 3] = [Priority::Live, Priority::Normal, Priority::Batch];
+
+/// What an estimate needs beside the endpoint itself.
+#[derive(Clone, Copy, Debug)]
+struct Context {
+    lag: Millis,
+    /// Share of waiting work that is at least as urgent as each priority.
+    shares: [f64; 3],
 }
 
 /// Endpoints by slot number, name and service.
@@ -110,6 +134,9 @@
     names: HashMap<EndpointName, usize>,
     services: HashMap<Service, Vec<usize>>,
     left: HashMap<EndpointName, Millis>,
+    /// Uncached tokens sent by priority, decaying. Load reports do not tell priorities apart, so
+    /// the node's own mix stands for that of all.
+    mix: [f64; 3],
 }
 
 impl View {
@@ -120,6 +147,18 @@
         }
     }
 
+    fn context(&self) -> Context {
+        let sum: f64 = self.mix.iter().sum();
+        let mut ahead = 0.0;
+        Context {
+            lag: self.options.lag,
+            shares: self.mix.map(|tokens| {
+                ahead += tokens;
+                if sum > 0.0 { ahead / sum } else { 1.0 }
+            }),
+        }
+    }
+
     pub(crate) fn id(&self, name: &EndpointName) -> Option<usize> {
         self.names.get(name).copied()
     }
@@ -213,14 +252,14 @@
         load: &Load,
         now: Millis,
     ) -> Option<usize> {
-        let (id, lag) = (self.id(name)?, self.options.lag);
+        let (id, context) = (self.id(name)?, self.context());
         let endpoint = self.get_mut(id);
         if endpoint.report.is_some_and(|(old, _)| old.seq > load.seq) {
             return None;
         }
         endpoint.report = Some((*load, now));
         endpoint.gone = 0;
-        endpoint.refresh(lag, now);
+        endpoint.refresh(context, now);
         Some(id)
     }
 
@@ -231,16 +270,20 @@
         fresh: Vec<u64>,
         now: Millis,
     ) -> Option<usize> {
-        let (id, lag) = (self.id(name)?, self.options.lag);
+        let (id, context) = (self.id(name)?, self.context());
+        let tokens = work.prompt.saturating_sub(work.cached);
+        self.mix = self.mix.map(|old| old * MIX);
+        self.mix[work.priority as usize] += real(tokens);
         let endpoint = self.get_mut(id);
         endpoint.own.retain(|own| own.attempt != work.attempt);
         endpoint.own.push(Own {
             attempt: work.attempt,
-            tokens: work.prompt.saturating_sub(work.cached),
+            tokens,
+            priority: work.priority,
             sent: now,
             fresh,
         });
-        endpoint.refresh(lag, now);
+        endpoint.refresh(context, now);
         Some(id)
     }
 
@@ -252,7 +295,7 @@
         finish: Finish,
         now: Millis,
     ) -> Option<(usize, Own)> {
-        let (id, lag) = (self.id(name)?, self.options.lag);
+        let (id, context) = (self.id(name)?, self.context());
         let endpoint = self.get_mut(id);
         let index = endpoint.own.iter().position(|own| own.attempt == attempt)?;
         let own = endpoint.own.remove(index);
@@ -261,12 +304,12 @@
             endpoint.rates.run += (run - endpoint.rates.run) * BLEND;
             if endpoint
                 .report
-                .is_some_and(|(_, at)| own.sent < Millis(at.since(lag)))
+                .is_some_and(|(_, at)| own.sent < Millis(at.since(context.lag)))
             {
                 endpoint.gone += 1;
             }
         }
-        endpoint.refresh(lag, now);
+        endpoint.refresh(context, now);
         Some((id, own))
     }
 
@@ -276,7 +319,7 @@
         rates: &Rates,
         now: Millis,
     ) -> Option<usize> {
-        let (id, lag) = (self.id(name)?, self.options.lag);
+        let (id, context) = (self.id(name)?, self.context());
         let endpoint = self.get_mut(id);
         for (old, new) in [
             (&mut endpoint.rates.prefill, rates.prefill),
@@ -287,7 +330,7 @@
                 *old += (new - *old) * BLEND;
             }
         }
-        endpoint.refresh(lag, now);
+        endpoint.refresh(context, now);
         Some(id)
     }
 
--- a/crates/cumin-route/tests/all/choice.rs
+++ b/crates/cumin-route/tests/all/choice.rs
@@ -274,7 +274,7 @@
 /// Guards against baselines that cannot be compared: each must obey the same exclusions.
 #[test]
 fn baselines_obey() {
-    for rule in [Rule::Robin, Rule::Least, Rule::Prefix] {
+    for rule in [Rule::Robin, Rule::Least, Rule::Prefix(8)] {
         let mut policy: Box<dyn Policy> = Box::new(Baseline::new(rule, Options::default()));
         for name in ["a", "b", "c", "d"] {
             policy.upsert(endpoint(name));
--- a/crates/cumin-route/tests/all/machine.rs
+++ b/crates/cumin-route/tests/all/machine.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cumin_route::{EndpointInfo, Finish, Options, Query, Router, Trust, Work};
-use cumin_types::{AttemptId, EndpointName, Millis};
+use cumin_types::{AttemptId, EndpointName, Millis, Priority};
 use cumin_wire::engine::{BLOCK_TOKENS, CacheChange, CacheEvent, CacheList, Load};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -332,6 +332,7 @@
                     blocks: document(doc, DEPTH),
                     prompt: 100,
                     cached: 0,
+                    priority: Priority::Normal,
                 };
                 router.sent(&name(id), &work, now);
             }
--- a/crates/cumin-route/tests/all/reclaim.rs
+++ b/crates/cumin-route/tests/all/reclaim.rs
@@ -15,6 +15,7 @@
         bytes,
         priority: Priority::Normal,
         deadline: None,
+        rest: None,
         cached: Vec::new(),
         step: Step::Waiting,
     }
@@ -100,6 +101,25 @@
     assert_eq!((&moves[0].how, &moves[0].to), (&How::Resume, &None));
 }
 
+/// Guards against a transfer spent on a request that ends in time, and against one left where it
+/// is when the time has run out.
+#[test]
+fn stays() {
+    let brief = Running {
+        rest: Some(Millis(2000)),
+        ..running(1, 1000, 1_000_000)
+    };
+    let targets = [target("a", 1)];
+    let how = |left| {
+        rank_reclaim(std::slice::from_ref(&brief), &options(left), &targets)[0]
+            .how
+            .clone()
+    };
+    assert_eq!(how(3000), How::Stay);
+    assert_eq!(how(2900), How::Export);
+    assert_eq!(how(1500), How::Resume);
+}
+
 /// Guards against a log line without its reasons.
 #[test]
 fn move_line() {
--- a/crates/cumin-route/tests/all/setup.rs
+++ b/crates/cumin-route/tests/all/setup.rs
@@ -57,5 +57,6 @@
         blocks: query.blocks.clone(),
         prompt: query.prompt,
         cached: 0,
+        priority: query.priority,
     }
 }
