Bound holders looked at in a choice; keep streams until the margin

Classes of equal depth that are too large are now sampled, and the groups supply those that are ready first.

In a reclaim, requests in prefill had no expected end, so all were moved even when a long notice would let them finish; Running gains streams, and rest also covers prefill. Resumed streams begin at the margin, prefills at once.

--- a/crates/cumin-bench/src/engine.rs
+++ b/crates/cumin-bench/src/engine.rs
@@ -127,10 +127,7 @@
 
     pub(crate) fn load(&mut self) -> Load {
         self.reports += 1;
-        let backlog = |job: &Job| match job.done {
-            Some(done) => tokens(job.text.len() - done),
-            None => tokens(job.text.len() - self.cache.depth(&job.text)),
-        };
+        let backlog = |job: &Job| self.uncached(job);
         Load {
             seq: self.reports,
             queued: self.waiting.len() as u64,
@@ -141,6 +138,23 @@
         }
     }
 
+    /// Returns the tokens that a job has still to prefill.
+    fn uncached(&self, job: &Job) -> u64 {
+        let done = job.done.unwrap_or_else(|| self.cache.depth(&job.text));
+        tokens(job.text.len() - done)
+    }
+
+    /// Returns the time until a job streams, behind the prefill of those as urgent.
+    pub(crate) fn ahead(&self, job: &Job) -> Micros {
+        if job.since.is_some() {
+            return 0;
+        }
+        let all = self.waiting.iter().chain(&self.running);
+        let urgent = all.filter(|other| other.priority <= job.priority);
+        let count: u64 = urgent.map(|other| self.uncached(other)).sum();
+        micros(real(count) / self.machine.prefill)
+    }
+
     /// Fills free slots by priority.
     pub(crate) fn admit(&mut self) {
         while self.running.len() < self.machine.slots && !self.waiting.is_empty() {
--- a/crates/cumin-route/src/pool.rs
+++ b/crates/cumin-route/src/pool.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use cumin_types::{Model, Place, Priority, Service};
+use rand::Rng;
 
 use crate::view::{Endpoint, View};
 
@@ -35,7 +36,7 @@
         }
     }
 
-    pub(crate) fn serves(&self, model: Option<&Model>) -> bool {
+    fn serves(&self, model: Option<&Model>) -> bool {
         model.is_none_or(|model| self.models.contains(model))
     }
 }
@@ -45,20 +46,23 @@
     (value.max(1.0).log2() * 4.0).round() as i32
 }
 
+/// Endpoints picked from one group at most.
+const EACH: usize = 8;
+
 /// Position in a group: ready time, load in thousandths of the slots, slot number.
-pub(crate) type Key = (u64, u64, usize);
+type Key = (u64, u64, usize);
 
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
-    pub kind: Kind,
-    pub order: BTreeSet<Key>,
-    pub members: Vec<usize>,
+    kind: Kind,
+    order: BTreeSet<Key>,
+    members: Vec<usize>,
 }
 
 /// The groups of one service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
-    pub pools: Vec<Pool>,
+    pools: Vec<Pool>,
     price: f64,
     count: u64,
 }
@@ -69,6 +73,61 @@
         let mean = self.price / crate::view::real(self.count.max(1));
         if mean > f64::EPSILON { mean } else { 1.0 }
     }
+
+    /// Returns the groups that serve a model.
+    pub(crate) fn serving(&self, model: Option<&Model>) -> impl Iterator<Item = &Pool> {
+        self.pools
+            .iter()
+            .filter(move |pool| pool.kind.serves(model))
+    }
+
+    pub(crate) fn count(&self, model: Option<&Model>) -> usize {
+        self.serving(model).map(|pool| pool.members.len()).sum()
+    }
+
+    pub(crate) fn all(&self, model: Option<&Model>) -> impl Iterator<Item = usize> {
+        self.serving(model)
+            .flat_map(|pool| pool.members.iter().copied())
+    }
+
+    /// Picks the first that are ready and some at random of each group, up to `limit` in all.
+    pub(crate) fn fill<R: Rng + ?Sized>(
+        &self,
+        model: Option<&Model>,
+        excluded: &[usize],
+        limit: usize,
+        picks: &mut Vec<usize>,
+        rng: &mut R,
+    ) {
+        let serving: Vec<&Pool> = self.serving(model).collect();
+        let room = limit - picks.len();
+        let each = (room / serving.len().max(1)).clamp(1, EACH);
+        // With more groups than room, a different part of them is looked at each time.
+        let start = if serving.len() > room {
+            rng.random_range(0..serving.len())
+        } else {
+            0
+        };
+        let (before, after) = serving.split_at(start);
+        for pool in after.iter().chain(before) {
+            let mut left = each.div_ceil(2);
+            for (_, _, id) in &pool.order {
+                if left == 0 || picks.len() == limit {
+                    break;
+                }
+                if !excluded.contains(id) && !picks.contains(id) {
+                    picks.push(*id);
+                    left -= 1;
+                }
+            }
+            for _ in 0..each / 2 {
+                let id = pool.members[rng.random_range(0..pool.members.len())];
+                if picks.len() < limit && !excluded.contains(&id) && !picks.contains(&id) {
+                    picks.push(id);
+                }
+            }
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -174,7 +233,7 @@
 }
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-pub(crate) fn key(endpoint: &Endpoint, id: usize) -> Key {
+fn key(endpoint: &Endpoint, id: usize) -> Key {
     let slots = endpoint.slots().unwrap_or(1);
     (
         endpoint.ready(Priority::Batch) as u64,
--- a/crates/cumin-route/src/reclaim.rs
+++ b/crates/cumin-route/src/reclaim.rs
@@ -50,8 +50,10 @@
     /// When the whole answer is due.
     pub deadline: Option<Millis>,
     /// Time until it ends where it is, if its answer takes all the tokens allowed; none where
-    /// that is not known or it does not generate yet.
+    /// that is not known.
     pub rest: Option<Millis>,
+    /// Whether it generates; else it waits or is in prefill.
+    pub streams: bool,
     /// Leading tokens of its text that other endpoints cache.
     pub cached: Vec<(EndpointName, u64)>,
     /// How far its move has come.
@@ -342,8 +344,9 @@
             prefill: request.tokens - cached,
             transfer: 0.0,
             rate: 0.0,
-            // A stream goes on meanwhile, loses nothing, and perhaps ends.
-            starts: request.rest.map_or(0.0, |_| self.limit()),
+            // A stream goes on meanwhile, loses nothing, and perhaps ends; a prefill would be
+            // repeated in full.
+            starts: if request.streams { self.limit() } else { 0.0 },
             ends: 0.0,
         }
     }
--- a/crates/cumin-route/src/router.rs
+++ b/crates/cumin-route/src/router.rs
@@ -1,13 +1,13 @@
 //! The product's policy.
 
-use std::cmp::{Ordering, Reverse};
+use std::cmp::Ordering;
 
 use cumin_types::{AttemptId, EndpointName, Millis, Model, Service};
 use cumin_wire::engine::{CacheEvent, CacheList, Load};
 use rand::Rng;
 
 use crate::index::{Index, tokens};
-use crate::pool::{Group, Pools, key};
+use crate::pool::{Group, Pools};
 use crate::view::{Endpoint, View, ms, real};
 use crate::{
     Choice, EndpointInfo, Finish, NoEndpoint, Options, OwnLoad, Policy, Query, Rates, Scored,
@@ -275,8 +275,7 @@
             return 0;
         };
         let model = query.model.as_ref();
-        let pools = group.pools.iter().filter(|pool| pool.kind.serves(model));
-        let all: usize = pools.map(|pool| pool.members.len()).sum();
+        let all = group.count(model);
         let out = excluded
             .iter()
             .filter(|id| {
@@ -311,66 +310,19 @@
             });
         }
         let limit = view.options.candidates.max(2);
-        let usable = |id: usize| {
-            let endpoint = view.get(id);
-            pools.contains(id)
-                && endpoint.info.service == query.service
-                && endpoint.serves(model)
-                && !excluded.contains(&id)
-        };
-        picks.extend(holders.iter().copied().filter(|id| usable(*id)));
-        let half = limit / 2;
-        if picks.len() > half {
-            let order = |id: &usize| {
-                let endpoint = view.get(*id);
-                (Reverse(depth[*id]), key(endpoint, *id))
-            };
-            picks.select_nth_unstable_by_key(half - 1, order);
-            picks.truncate(half);
-        }
-        let serving: Vec<_> = group
-            .pools
-            .iter()
-            .filter(|pool| pool.kind.serves(model))
-            .collect();
-        if serving.is_empty() {
+        if group.count(model) <= limit {
+            picks.extend(group.all(model).filter(|id| !excluded.contains(id)));
             return;
         }
-        if serving.iter().map(|pool| pool.members.len()).sum::<usize>() <= limit {
-            picks.clear();
-            let all = serving.iter().flat_map(|pool| pool.members.iter().copied());
-            picks.extend(all.filter(|id| !excluded.contains(id)));
-            return;
-        }
-        let room = limit - picks.len();
-        let each = (room / serving.len()).clamp(1, 8);
-        // With more groups than room, a different part of them is looked at each time.
-        let start = if serving.len() > room {
-            rng.random_range(0..serving.len())
-        } else {
-            0
+        let usable = |id: &usize| {
+            let endpoint = view.get(*id);
+            pools.contains(*id)
+                && endpoint.info.service == query.service
+                && endpoint.serves(model)
+                && !excluded.contains(id)
         };
-        for turn in 0..serving.len() {
-            if picks.len() >= limit {
-                break;
-            }
-            let pool = serving[(start + turn) % serving.len()];
-            let before = picks.len();
-            for (_, _, id) in &pool.order {
-                if picks.len() - before >= each.div_ceil(2) {
-                    break;
-                }
-                if !excluded.contains(id) && !picks.contains(id) {
-                    picks.push(*id);
-                }
-            }
-            for _ in 0..each / 2 {
-                let id = pool.members[rng.random_range(0..pool.members.len())];
-                if picks.len() < limit && !excluded.contains(&id) && !picks.contains(&id) {
-                    picks.push(id);
-                }
-            }
-        }
+        deepest(holders, depth, limit / 2, usable, picks, rng);
+        group.fill(model, excluded, limit, picks, rng);
     }
 
     fn depths(&self, ids: &[usize]) -> u64 {
@@ -446,3 +398,32 @@
     let used = (real(endpoint.active) / slots).min(FULL);
     run / slots * used / (1.0 - used)
 }
+
+/// Picks up to `limit` holders, deepest first. Of holders of equal depth that are too many for
+/// the room left, it picks a part from a random place on: those that are ready first are likely
+/// picked from their groups, too.
+fn deepest<R: Rng + ?Sized>(
+    holders: &[usize],
+    depth: &[usize],
+    limit: usize,
+    usable: impl Fn(&usize) -> bool,
+    picks: &mut Vec<usize>,
+    rng: &mut R,
+) {
+    let mut rest = holders;
+    while let Some(first) = rest.first()
+        && picks.len() < limit
+    {
+        let alike = rest.iter().take_while(|id| depth[**id] == depth[*first]);
+        let (class, others) = rest.split_at(alike.count());
+        let room = (limit - picks.len()).min(class.len());
+        let start = if room < class.len() {
+            rng.random_range(0..class.len())
+        } else {
+            0
+        };
+        let part = class.iter().cycle().skip(start).take(room);
+        picks.extend(part.copied().filter(&usable));
+        rest = others;
+    }
+}
--- a/crates/cumin-route/tests/all/reclaim.rs
+++ b/crates/cumin-route/tests/all/reclaim.rs
@@ -16,6 +16,7 @@
         priority: Priority::Normal,
         deadline: None,
         rest: None,
+        streams: true,
         cached: Vec::new(),
         step: Step::Waiting,
     }
@@ -120,6 +121,23 @@
     assert_eq!(how(1500), How::Resume);
 }
 
+/// Guards against a stream cut off earlier than needed, and against a prefill continued only to
+/// be repeated.
+#[test]
+fn latest_start() {
+    let prefill = Running {
+        streams: false,
+        ..running(2, 9000, 9_000_000)
+    };
+    let all = [running(1, 9000, 9_000_000), prefill];
+    let moves = rank_reclaim(&all, &options(4000), &[target("a", 4)]);
+    let starts: Vec<_> = moves
+        .iter()
+        .map(|step| (step.how.clone(), step.starts))
+        .collect();
+    assert_eq!(starts, [(How::Resume, 3000.0), (How::Resume, 0.0)]);
+}
+
 /// Guards against a log line without its reasons.
 #[test]
 fn move_line() {
