--- a/crates/cumin-route/tests/all/reclaim.rs
+++ b/crates/cumin-route/tests/all/reclaim.rs
@@ -15,6 +15,8 @@
         bytes,
         priority: Priority::Normal,
         deadline: None,
+        rest: None,
+        streams: true,
         cached: Vec::new(),
         step: Step::Waiting,
     }
@@ -100,6 +102,42 @@
     assert_eq!((&moves[0].how, &moves[0].to), (&How::Resume, &None));
 }
 
+/// Guards against a transfer spent on a request that ends in time, and against one left where it
+/// is when the time has run out.
+#[test]
+fn stays() {
+    let brief = Running {
+        rest: Some(Millis(2000)),
+        ..running(1, 1000, 1_000_000)
+    };
+    let targets = [target("a", 1)];
+    let how = |left| {
+        rank_reclaim(std::slice::from_ref(&brief), &options(left), &targets)[0]
+            .how
+            .clone()
+    };
+    assert_eq!(how(3000), How::Stay);
+    assert_eq!(how(2900), How::Export);
+    assert_eq!(how(1500), How::Resume);
+}
+
+/// Guards against a stream cut off earlier than needed, and against a prefill continued only to
+/// be repeated.
+#[test]
+fn latest_start() {
+    let prefill = Running {
+        streams: false,
+        ..running(2, 9000, 9_000_000)
+    };
+    let all = [running(1, 9000, 9_000_000), prefill];
+    let moves = rank_reclaim(&all, &options(4000), &[target("a", 4)]);
+    let starts: Vec<_> = moves
+        .iter()
+        .map(|step| (step.how.clone(), step.starts))
+        .collect();
+    assert_eq!(starts, [(How::Resume, 3000.0), (How::Resume, 0.0)]);
+}
+
 /// Guards against a log line without its reasons.
 #[test]
 fn move_line() {
