Add the commands of both binaries: run, demo, check, diff, promote, keygen, schema

Cause: both binaries were empty, so nothing could be run or checked without writing a test.

Change: cumin-core has one module a command with Options, Outcome and Error, and decides the exit statuses 0 done, 1 broken, 2 usage, 3 refused. Command lines run against a Terminal value, so tests need no process.

--- /dev/null
+++ b/crates/cumin-core/src/ctl.rs
@@ -0,0 +1,146 @@
+//! `cuminctl`: finds the command and reports its errors.
+
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::{fs, io};
+
+use cumin_config::{Document, Problems};
+use derive_more::{Display, Error, From};
+
+use crate::args::nearest;
+use crate::{Status, Terminal, UsageError};
+use crate::{check, demo, diff, keygen, load, promote, schema};
+
+const HELP: &str = "\
+Operators' tool of cuminladder.
+
+usage: cuminctl COMMAND [ARGUMENTS]
+
+  demo     run the whole system in one process and check its promises
+  load     send load at a steady rate; `load relay` measures a node's cost
+  check    check documents, or settings with --settings
+  diff     list the keys that differ between two documents
+  promote  make the production document of a tested one and its overrides
+  keygen   make an organisation key and its digest
+  schema   print the JSON schema of documents, or of settings with --settings
+
+`cuminctl COMMAND --help` describes a command.
+
+exit status: 0 done, 1 a promise or a comparison did not hold, 2 bad usage or input, 3 the system
+could not be reached or refused";
+
+const COMMANDS: [&str; 7] = [
+    "demo", "load", "check", "diff", "promote", "keygen", "schema",
+];
+
+/// A file that a command can't use.
+#[derive(Debug, Display, Error)]
+pub enum FileError {
+    /// It can't be read.
+    #[display("{}: {error}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        error: io::Error,
+    },
+    /// Its content is not accepted.
+    #[display("{}", lines(path, problems))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        problems: Problems,
+    },
+}
+
+fn lines(path: &Path, problems: &Problems) -> String {
+    let problems = problems.0.iter();
+    let lines: Vec<String> = problems
+        .map(|problem| format!("{}: {problem}", path.display()))
+        .collect();
+    lines.join("\n")
+}
+
+pub(crate) fn read(path: &Path) -> Result<String, FileError> {
+    fs::read_to_string(path).map_err(|error| FileError::Read {
+        path: path.into(),
+        error,
+    })
+}
+
+pub(crate) fn document(path: &Path) -> Result<Document, FileError> {
+    Document::parse(&read(path)?).map_err(|problems| FileError::Invalid {
+        path: path.into(),
+        problems,
+    })
+}
+
+/// What ends a command without a result.
+#[derive(Debug, Display, From)]
+pub(crate) enum Failure {
+    Usage(UsageError),
+    File(FileError),
+    Demo(demo::Error),
+    Load(load::Error),
+}
+
+impl Failure {
+    fn status(&self) -> Status {
+        match self {
+            Self::Usage(_) | Self::File(_) => Status::Usage,
+            Self::Demo(error) => error.status(),
+            Self::Load(error) => error.status(),
+        }
+    }
+}
+
+/// Runs the command line of `cuminctl`.
+pub fn ctl(mut args: Vec<OsString>, terminal: &mut Terminal<'_>) -> Status {
+    if args.is_empty() {
+        terminal.progress(HELP);
+        return Status::Usage;
+    }
+    let name = args.remove(0).to_string_lossy().into_owned();
+    let help = args.iter().any(|arg| arg == "--help" || arg == "-h");
+    let (text, run): (&str, fn(_, &mut Terminal<'_>) -> Result<Status, Failure>) =
+        match name.as_str() {
+            "demo" => (demo::HELP, demo::command),
+            "load" => (load::HELP, load::command),
+            "check" => (check::HELP, check::command),
+            "diff" => (diff::HELP, diff::command),
+            "promote" => (promote::HELP, promote::command),
+            "keygen" => (keygen::HELP, keygen::command),
+            "schema" => (schema::HELP, schema::command),
+            "help" | "--help" | "-h" => {
+                terminal.print(HELP);
+                return Status::Done;
+            }
+            "--version" => {
+                terminal.print(concat!("cuminctl ", env!("CARGO_PKG_VERSION")));
+                return Status::Done;
+            }
+            _ => {
+                let nearest = nearest(&name, &COMMANDS).into();
+                terminal.error(UsageError::Command {
+                    found: name,
+                    nearest,
+                });
+                terminal.progress("`cuminctl --help` lists the commands");
+                return Status::Usage;
+            }
+        };
+    if help {
+        terminal.print(text);
+        return Status::Done;
+    }
+    run(args, terminal).unwrap_or_else(|failure| {
+        for line in failure.to_string().lines() {
+            terminal.error(line);
+        }
+        if matches!(failure, Failure::Usage(_)) {
+            terminal.progress(format!("`cuminctl {name} --help` describes the command"));
+        }
+        failure.status()
+    })
+}
--- /dev/null
+++ b/crates/cumin-core/src/demo/faults.rs
@@ -0,0 +1,158 @@
+//! The checks of streams whose engine or node goes away.
+
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use cumin_client::{Error, Streamed};
+use cumin_testbed::Testbed;
+use cumin_wire::completion::Request;
+use futures_util::future::{join, join_all};
+
+use super::checks::{Seen, caller, chat, whole};
+
+/// Tokens of a stream before its engine or node is hit.
+const BEFORE: u64 = 60;
+/// Tokens of a stream: about 1 s.
+const TOKENS: u64 = 400;
+/// Promised time from a notice to the last new work.
+const LEAVING: Duration = Duration::from_secs(3);
+/// Notice of the reclaim: the engine still answers when the promise is checked.
+const NOTICE: Duration = Duration::from_secs(6);
+
+/// Streams `request` and does `event` in the middle of it.
+async fn during<T>(
+    bed: &Testbed,
+    request: &Request,
+    event: impl AsyncFnOnce() -> Option<T>,
+) -> (Result<Streamed, Error>, Option<T>) {
+    let client = caller(bed);
+    let before = bed.engine_stats().generated;
+    let event = async {
+        let under_way = async {
+            while bed.engine_stats().generated < before + BEFORE {
+                sleep(Duration::from_millis(2)).await;
+            }
+        };
+        timeout(Duration::from_secs(5), under_way).await.ok()?;
+        event().await
+    };
+    join(client.chat(request), event).await
+}
+
+fn busy_engine(bed: &Testbed) -> Option<String> {
+    let mut engines = bed.engines.iter();
+    let busy = engines.find(|(_, engine)| !engine.attempts().is_empty());
+    busy.map(|(id, _)| id.clone())
+}
+
+fn missed() -> String {
+    "the stream ended before the fault".into()
+}
+
+/// Reclaims the engine of a stream; returns what the stream saw, and what new calls did.
+pub(super) async fn reclaim(bed: &Testbed) -> (Seen, Seen) {
+    let request = chat("crumb-8b", "a long review of the season", TOKENS);
+    let before = bed.engine_stats();
+    let (answer, engine) = during(bed, &request, async || {
+        let engine = busy_engine(bed)?;
+        bed.cloud.reclaim(&engine, NOTICE).then_some(engine)
+    })
+    .await;
+    let Some(engine) = engine else {
+        return (Err(missed()), Err(missed()));
+    };
+    let after = bed.engine_stats();
+    let seen = whole(&request, &answer).and_then(|seen| {
+        // Without a second attempt the stream stayed where it was, and nothing was shown.
+        if after.attempts - before.attempts < 2 {
+            return Err(format!("{seen}, but the stream did not move"));
+        }
+        let recomputed = after.recomputed - before.recomputed;
+        Ok(format!("{seen}, {recomputed} recomputed"))
+    });
+    sleep(LEAVING).await;
+    (seen, left(bed, &engine).await)
+}
+
+/// Sends chats after the notice and counts those that the leaving engine gets.
+async fn left(bed: &Testbed, id: &str) -> Seen {
+    let engine = &bed.engines[id];
+    let before = engine.stats().attempts;
+    let client = caller(bed);
+    let requests: Vec<_> = (0..20)
+        .map(|number| {
+            chat(
+                &engine.served().model,
+                &format!("check of starter {number}"),
+                10,
+            )
+        })
+        .collect();
+    let answers = join_all(requests.iter().map(|request| client.chat(request))).await;
+    let given = engine.stats().attempts - before;
+    for (request, answer) in requests.iter().zip(&answers) {
+        whole(request, answer)?;
+    }
+    let seen = format!("{given} of 20 chats");
+    if given == 0 { Ok(seen) } else { Err(seen) }
+}
+
+pub(super) async fn engine_crash(bed: &Testbed) -> Seen {
+    let request = chat("crumb-8b", "why is the crumb so close", TOKENS);
+    let mismatches = bed.engine_stats().mismatches;
+    let (answer, hit) = during(bed, &request, async || {
+        bed.engines[&busy_engine(bed)?].crash();
+        Some(())
+    })
+    .await;
+    hit.ok_or_else(missed)?;
+    if bed.engine_stats().mismatches != mismatches {
+        return Err("an engine was resumed with a text that it would not have made".into());
+    }
+    whole(&request, &answer)
+}
+
+pub(super) async fn node_stop(bed: &Testbed) -> Seen {
+    let request = chat("crumb-8b", "what may go wrong on a cloudy day", TOKENS);
+    let (answer, hit) = during(bed, &request, async || {
+        let number = bed.owner_of_some_request()?;
+        let address = bed.entry(number)?;
+        bed.stop_node(number).await;
+        Some(address)
+    })
+    .await;
+    let stopped = hit.ok_or_else(missed)?;
+    let seen = whole(&request, &answer)?;
+    let breaks = answer.map(|answer| answer.resumes).unwrap_or_default();
+    if breaks != 0 {
+        return Err(format!("{seen}, but breaks: {breaks}"));
+    }
+    let client = caller(bed);
+    if !client.refresh().await || client.entries().contains(&stopped) {
+        return Err(format!(
+            "{seen}, but callers are still sent to the stopped node"
+        ));
+    }
+    Ok(format!("{seen}, no break, entry list without it"))
+}
+
+pub(super) async fn node_crash(bed: &Testbed) -> Seen {
+    let request = chat("crumb-8b", "when shall I order flour", TOKENS);
+    let mismatches = bed.engine_stats().mismatches;
+    let (answer, hit) = during(bed, &request, async || {
+        bed.crash_node(bed.owner_of_some_request()?);
+        Some(())
+    })
+    .await;
+    hit.ok_or_else(missed)?;
+    if bed.engine_stats().mismatches != mismatches {
+        return Err("the second node went on from another text".into());
+    }
+    let seen = whole(&request, &answer)?;
+    match answer.map(|answer| answer.resumes).unwrap_or_default() {
+        0 => Err(format!(
+            "{seen}, but the node that crashed was not the stream's"
+        )),
+        resumes => Ok(format!("{seen}, resumes elsewhere: {resumes}")),
+    }
+}
--- /dev/null
+++ b/crates/cumin-core/src/promote.rs
@@ -0,0 +1,83 @@
+//! `cuminctl promote`: makes or verifies the production document of a tested one.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use cumin_config::{Change, Document};
+
+use crate::args::Args;
+use crate::ctl::{self, Failure, FileError};
+use crate::{Status, Terminal, UsageError};
+
+pub(crate) const HELP: &str = "\
+Prints the production document: the tested trial document with its overrides.
+
+usage: cuminctl promote [--verify DOCUMENT] TRIAL OVERRIDES
+
+  --verify DOCUMENT  print nothing but the keys in which DOCUMENT is not that promotion
+
+exit status: 0 done, 1 DOCUMENT is not the promotion, 2 a file is not accepted";
+
+/// What to promote.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// The tested document.
+    pub trial: PathBuf,
+    /// What production has different.
+    pub overrides: PathBuf,
+    /// A document to compare with the promotion.
+    pub verify: Option<PathBuf>,
+}
+
+/// The promotion, or how a document differs from it.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// The production document.
+    Promoted(Box<Document>),
+    /// Where the given document differs; empty when it is the promotion.
+    Compared(Vec<Change>),
+}
+
+impl Options {
+    fn read(args: Vec<OsString>) -> Result<Self, UsageError> {
+        let mut args = Args::new(args, &["--verify", "--help"])?;
+        let verify = args.path("--verify")?;
+        let [trial, overrides] = args.files(["TRIAL", "OVERRIDES"])?;
+        Ok(Self {
+            trial,
+            overrides,
+            verify,
+        })
+    }
+}
+
+/// Makes the promotion, or compares a document with it.
+///
+/// # Errors
+/// When a file can't be read, or the trial, the overrides or their promotion is not accepted.
+pub fn promote(options: &Options) -> Result<Outcome, FileError> {
+    let trial = ctl::document(&options.trial)?;
+    let overrides = ctl::read(&options.overrides)?;
+    let production = cumin_config::promote(&trial, &overrides);
+    let production = production.map_err(|problems| FileError::Invalid {
+        path: options.overrides.clone(),
+        problems,
+    })?;
+    Ok(match &options.verify {
+        None => Outcome::Promoted(Box::new(production)),
+        Some(path) => Outcome::Compared(cumin_config::diff(&production, &ctl::document(path)?)),
+    })
+}
+
+pub(crate) fn command(args: Vec<OsString>, terminal: &mut Terminal<'_>) -> Result<Status, Failure> {
+    match promote(&Options::read(args)?)? {
+        Outcome::Promoted(document) => terminal.print(document.render().trim_end()),
+        Outcome::Compared(changes) => {
+            changes.iter().for_each(|change| terminal.print(change));
+            if !changes.is_empty() {
+                return Ok(Status::Broken);
+            }
+        }
+    }
+    Ok(Status::Done)
+}
--- /dev/null
+++ b/crates/cumin-core/src/run.rs
@@ -0,0 +1,233 @@
+//! `cuminladder`: runs a node until it is told to stop.
+//!
+//! Settings and document are checked completely before any socket opens. SIGTERM, SIGINT and a
+//! reclaim of the node's own instance drain it; a second signal stops it at once.
+
+use std::ffi::OsString;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::pin::pin;
+
+use actix_rt::signal::unix::{Signal, SignalKind, signal};
+use cumin_config::{Document, Problems, Settings};
+use cumin_node::{Node, StartError};
+use derive_more::{Display, Error};
+use futures_util::future::{self, Either};
+use log::LevelFilter;
+
+use crate::args::Args;
+use crate::{Status, Terminal, UsageError, logging};
+
+const HELP: &str = "\
+Runs a node of cuminladder.
+
+usage: cuminladder --settings FILE --document FILE [--check] [--log LEVEL]
+
+  --settings FILE  settings of the node, TOML
+  --document FILE  document of the environment, TOML
+  --check          check both files and exit; opens no socket
+  --log LEVEL      off, error, warn, info, debug or trace; RUST_LOG or info when absent
+  --version        print the version
+  --help           print this text
+
+SIGTERM, SIGINT and a reclaim of the node's instance drain it; a second signal stops it at once.
+
+exit status: 0 drained or checked, 1 stopped before it was drained, 2 bad usage, settings or
+document, 3 an address can't be bound";
+
+const FLAGS: &[&str] = &[
+    "--settings",
+    "--document",
+    "--check",
+    "--log",
+    "--version",
+    "--help",
+];
+
+/// What to run.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// File with the node's settings.
+    pub settings: PathBuf,
+    /// File with the environment's document.
+    pub document: Option<PathBuf>,
+    /// True to only check both.
+    pub check: bool,
+    /// Log level, instead of `RUST_LOG`.
+    pub log: Option<LevelFilter>,
+}
+
+/// How a node ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was only checked.
+    Checked,
+    /// It finished or handed over its requests.
+    Drained,
+    /// A second signal ended it before that.
+    Killed,
+}
+
+/// A node that could not run.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// Settings or document are not accepted; one text for each problem.
+    #[display("{}", _0.join("\n"))]
+    Invalid(#[error(not(source))] Vec<String>),
+    /// Signals can't be received.
+    #[display("signals can't be received: {_0}")]
+    Signals(io::Error),
+    /// The node can't start.
+    #[display("{_0}")]
+    Start(StartError),
+}
+
+impl Options {
+    fn read(args: Vec<OsString>) -> Result<Self, UsageError> {
+        let mut args = Args::new(args, FLAGS)?;
+        let options = Self {
+            settings: args
+                .path("--settings")?
+                .ok_or_else(|| UsageError::missing("--settings", "a file"))?,
+            document: args.path("--document")?,
+            check: args.flag("--check"),
+            log: args.value("--log", "off, error, warn, info, debug or trace")?,
+        };
+        args.done()?;
+        Ok(options)
+    }
+}
+
+/// Runs the command line of `cuminladder`.
+pub fn node(args: Vec<OsString>, terminal: &mut Terminal<'_>) -> Status {
+    if args.iter().any(|arg| arg == "--help" || arg == "-h") {
+        terminal.print(HELP);
+        return Status::Done;
+    }
+    if args.iter().any(|arg| arg == "--version") {
+        terminal.print(concat!("cuminladder ", env!("CARGO_PKG_VERSION")));
+        return Status::Done;
+    }
+    let options = match Options::read(args) {
+        Ok(options) => options,
+        Err(error) => {
+            terminal.error(error);
+            terminal.progress("`cuminladder --help` lists the flags");
+            return Status::Usage;
+        }
+    };
+    match run(&options) {
+        Ok(Outcome::Checked) => {
+            terminal.print("settings and document are accepted");
+            Status::Done
+        }
+        Ok(Outcome::Drained) => Status::Done,
+        Ok(Outcome::Killed) => Status::Broken,
+        Err(Error::Invalid(problems)) => {
+            for problem in problems {
+                terminal.error(problem);
+            }
+            Status::Usage
+        }
+        Err(error) => {
+            terminal.error(error);
+            Status::Refused
+        }
+    }
+}
+
+/// Checks the files, then runs the node until it is told to stop.
+///
+/// # Errors
+/// Files that can't be read or are not accepted; an address that can't be bound.
+pub fn run(options: &Options) -> Result<Outcome, Error> {
+    let (settings, document) = load(options).map_err(Error::Invalid)?;
+    if options.check {
+        return Ok(Outcome::Checked);
+    }
+    logging::start(options.log, "info");
+    actix_rt::System::new().block_on(serve(settings, document))
+}
+
+/// Reads settings and document; every problem of both is in the error.
+fn load(options: &Options) -> Result<(Settings, Document), Vec<String>> {
+    let settings = parse(&options.settings, Settings::parse).and_then(|mut settings| {
+        let secret = settings.load_secret();
+        let secret = secret.map_err(|error| vec![in_file(&options.settings, error)])?;
+        settings.secret = Some(secret);
+        Ok(settings)
+    });
+    let document = match &options.document {
+        Some(path) => parse(path, Document::parse),
+        None => Err(vec![
+            UsageError::missing("--document", "a file; it is not read from the log yet")
+                .to_string(),
+        ]),
+    };
+    match (settings, document) {
+        (Ok(settings), Ok(document)) => match settings.check(&document) {
+            Ok(()) => Ok((settings, document)),
+            Err(problems) => Err(each(&options.settings, &problems)),
+        },
+        (settings, document) => {
+            let problems = settings.err().into_iter().chain(document.err());
+            Err(problems.flatten().collect())
+        }
+    }
+}
+
+fn parse<T>(path: &Path, parse: fn(&str) -> Result<T, Problems>) -> Result<T, Vec<String>> {
+    let text = std::fs::read_to_string(path).map_err(|error| vec![in_file(path, error)])?;
+    parse(&text).map_err(|problems| each(path, &problems))
+}
+
+fn each(path: &Path, problems: &Problems) -> Vec<String> {
+    let problems = problems.0.iter();
+    problems.map(|problem| in_file(path, problem)).collect()
+}
+
+fn in_file(path: &Path, problem: impl std::fmt::Display) -> String {
+    format!("{}: {problem}", path.display())
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn listen() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) -> &'static str {
+        let terminate = pin!(self.terminate.recv());
+        let interrupt = pin!(self.interrupt.recv());
+        match future::select(terminate, interrupt).await {
+            Either::Left(_) => "sigterm",
+            Either::Right(_) => "sigint",
+        }
+    }
+}
+
+async fn serve(settings: Settings, document: Document) -> Result<Outcome, Error> {
+    let mut signals = Signals::listen().map_err(Error::Signals)?;
+    let name = settings.name.clone();
+    let node = Node::start(settings, document, cumin_node::Options::default());
+    let node = node.map_err(Error::Start)?;
+    let cause = match future::select(pin!(signals.next()), pin!(node.reclaimed())).await {
+        Either::Left((signal, _)) => signal,
+        Either::Right(_) => "reclaim",
+    };
+    log::info!("event=stop_ordered node={name} cause={cause}");
+    match future::select(pin!(node.stop()), pin!(signals.next())).await {
+        Either::Left(_) => Ok(Outcome::Drained),
+        Either::Right((signal, _)) => {
+            log::warn!("event=killed node={name} cause={signal}");
+            Ok(Outcome::Killed)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumin-core/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of whole command lines.
+
+mod bad_input;
+mod demo_promises;
+mod documents;
+mod support;
--- a/src/bin/cuminctl.rs
+++ b/src/bin/cuminctl.rs
@@ -1,2 +1,7 @@
-//! Tool.
-fn main() {}
+//! The operators' command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cumin_core::cuminctl()
+}
--- a/src/bin/cuminladder.rs
+++ b/src/bin/cuminladder.rs
@@ -1,2 +1,7 @@
-//! Node.
-fn main() {}
+//! The node that every entry instance runs.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cumin_core::cuminladder()
+}
