--- a/crates/cumin-client/src/lib.rs
+++ b/crates/cumin-client/src/lib.rs
@@ -32,6 +32,8 @@
     pub timeout: Duration,
     /// Pause before a call goes to another entry.
     pub pause: Duration,
+    /// True to use no entry that is not on a loopback address, whoever names it.
+    pub loopback: bool,
 }
 
 impl Default for Options {
@@ -42,6 +44,7 @@
             tries: 20,
             timeout: Duration::from_secs(15),
             pause: Duration::from_millis(100),
+            loopback: false,
         }
     }
 }
@@ -120,14 +123,12 @@
             let Ok(list) = answer.json::<EntryList>().await else {
                 continue;
             };
-            if list.entries.is_empty() {
+            let mut entries: Vec<_> = list.entries.iter().map(|entry| entry.address).collect();
+            entries.retain(|entry| self.allowed(*entry));
+            if entries.is_empty() {
                 continue;
             }
-            *self.entries.borrow_mut() = list
-                .entries
-                .into_iter()
-                .map(|entry| entry.address)
-                .collect();
+            *self.entries.borrow_mut() = entries;
             return true;
         }
         false
@@ -139,6 +140,10 @@
         self.entries.borrow().clone()
     }
 
+    fn allowed(&self, entry: SocketAddr) -> bool {
+        !self.options.loopback || entry.ip().is_loopback()
+    }
+
     fn any(&self) -> Option<SocketAddr> {
         self.entries.borrow().choose(&mut rand::rng()).copied()
     }
--- a/crates/cumin-client/src/stream.rs
+++ b/crates/cumin-client/src/stream.rs
@@ -25,6 +25,8 @@
     pub reason: String,
     /// Token counts that the system told.
     pub usage: Option<Usage>,
+    /// The second node that holds the request, as the entry told last.
+    pub second: Option<SocketAddr>,
     /// Times that the stream went on at another entry.
     pub resumes: u32,
     /// Tokens that came twice, which must not happen.
@@ -35,6 +37,8 @@
     pub first: Option<Duration>,
     /// Longest time between two tokens.
     pub gap: Duration,
+    /// Time from the first send to each token.
+    pub arrivals: Vec<Duration>,
     /// Time from the first send to the end.
     pub total: Duration,
 }
@@ -52,6 +56,9 @@
     entries: Vec<SocketAddr>,
 }
 
+/// Longest wait for the end of a body after its last event.
+const LAST_READ: Duration = Duration::from_millis(20);
+
 /// How one connection ended.
 enum Ended {
     Whole,
@@ -89,12 +96,9 @@
                 return Err(unreachable("no entry is known"));
             };
             match self.connect(entry, &body, &mut reading).await? {
-                Ended::Whole => {
-                    reading.streamed.total = reading.started.elapsed();
-                    return Ok(reading.streamed);
-                }
+                Ended::Whole => return Ok(reading.streamed),
                 Ended::Moved(entries) => {
-                    next = entries.first().copied();
+                    next = entries.into_iter().find(|entry| self.allowed(*entry));
                     reading.streamed.resumes += 1;
                 }
                 Ended::Broken(why) => {
@@ -167,7 +171,10 @@
         if let Some(id) = text(header::REQUEST_ID) {
             reading.streamed.id = id.into();
         }
-        reading.second = text(header::SECOND).and_then(|second| second.parse().ok());
+        reading.second = text(header::SECOND)
+            .and_then(|second| second.parse().ok())
+            .filter(|second| self.allowed(*second));
+        reading.streamed.second = reading.second;
         let mut reader = sse::Reader::default();
         loop {
             let part = match actix_rt::time::timeout(self.options.timeout, answer.next()).await {
@@ -181,6 +188,9 @@
             }
             while let Ok(Some(event)) = reader.next_event() {
                 if let Some(ended) = reading.take(&event) {
+                    reading.streamed.total = reading.started.elapsed();
+                    // A connection whose body was not read to its end is closed, not reused.
+                    let _ = actix_rt::time::timeout(LAST_READ, answer.next()).await;
                     return Ok(ended);
                 }
             }
@@ -231,6 +241,7 @@
         self.streamed
             .first
             .get_or_insert_with(|| now - self.started);
+        self.streamed.arrivals.push(now - self.started);
         if let Some(latest) = self.latest.replace(now) {
             self.streamed.gap = self.streamed.gap.max(now - latest);
         }
--- a/crates/cumin-core/src/args.rs
+++ b/crates/cumin-core/src/args.rs
@@ -70,7 +70,9 @@
         for arg in &args {
             let text = arg.to_string_lossy();
             let name = text.split('=').next().unwrap_or_default();
-            if name.starts_with('-') && !flags.contains(&name) {
+            // A negative number is the value of a flag.
+            let number = name.parse::<f64>().is_ok();
+            if name.starts_with('-') && !number && !flags.contains(&name) {
                 return Err(UsageError::Flag {
                     found: name.into(),
                     nearest: nearest(name, flags).into(),
--- a/crates/cumin-core/src/ctl.rs
+++ b/crates/cumin-core/src/ctl.rs
@@ -95,6 +95,8 @@
     }
 }
 
+type Command = fn(Vec<OsString>, &mut Terminal<'_>) -> Result<Status, Failure>;
+
 /// Runs the command line of `cuminctl`.
 pub fn ctl(mut args: Vec<OsString>, terminal: &mut Terminal<'_>) -> Status {
     if args.is_empty() {
@@ -103,33 +105,32 @@
     }
     let name = args.remove(0).to_string_lossy().into_owned();
     let help = args.iter().any(|arg| arg == "--help" || arg == "-h");
-    let (text, run): (&str, fn(_, &mut Terminal<'_>) -> Result<Status, Failure>) =
-        match name.as_str() {
-            "demo" => (demo::HELP, demo::command),
-            "load" => (load::HELP, load::command),
-            "check" => (check::HELP, check::command),
-            "diff" => (diff::HELP, diff::command),
-            "promote" => (promote::HELP, promote::command),
-            "keygen" => (keygen::HELP, keygen::command),
-            "schema" => (schema::HELP, schema::command),
-            "help" | "--help" | "-h" => {
-                terminal.print(HELP);
-                return Status::Done;
-            }
-            "--version" => {
-                terminal.print(concat!("cuminctl ", env!("CARGO_PKG_VERSION")));
-                return Status::Done;
-            }
-            _ => {
-                let nearest = nearest(&name, &COMMANDS).into();
-                terminal.error(UsageError::Command {
-                    found: name,
-                    nearest,
-                });
-                terminal.progress("`cuminctl --help` lists the commands");
-                return Status::Usage;
-            }
-        };
+    let (text, run): (&str, Command) = match name.as_str() {
+        "demo" => (demo::HELP, demo::command),
+        "load" => (load::HELP, load::command),
+        "check" => (check::HELP, check::command),
+        "diff" => (diff::HELP, diff::command),
+        "promote" => (promote::HELP, promote::command),
+        "keygen" => (keygen::HELP, keygen::command),
+        "schema" => (schema::HELP, schema::command),
+        "help" | "--help" | "-h" => {
+            terminal.print(HELP);
+            return Status::Done;
+        }
+        "--version" => {
+            terminal.print(concat!("cuminctl ", env!("CARGO_PKG_VERSION")));
+            return Status::Done;
+        }
+        _ => {
+            let nearest = nearest(&name, &COMMANDS).into();
+            terminal.error(UsageError::Command {
+                found: name,
+                nearest,
+            });
+            terminal.progress("`cuminctl --help` lists the commands");
+            return Status::Usage;
+        }
+    };
     if help {
         terminal.print(text);
         return Status::Done;
--- a/crates/cumin-core/src/demo.rs
+++ b/crates/cumin-core/src/demo.rs
@@ -6,6 +6,8 @@
 mod checks;
 mod faults;
 
+pub(crate) use checks::chat;
+
 use std::ffi::OsString;
 use std::io;
 use std::path::{Path, PathBuf};
--- a/crates/cumin-core/src/demo/checks.rs
+++ b/crates/cumin-core/src/demo/checks.rs
@@ -5,7 +5,7 @@
 use cumin_client::{Client, Error, PlainAnswer, PlainCall, Streamed};
 use cumin_standin::Outage;
 use cumin_standin::engine::{self, Cross};
-use cumin_standin::service::Looked;
+use cumin_standin::service::{Looked, Service};
 use cumin_testbed::Testbed;
 use cumin_types::Outcome;
 use cumin_wire::completion::{Message, Request};
@@ -96,7 +96,7 @@
     ]
 }
 
-pub(super) fn chat(model: &str, prompt: &str, tokens: u64) -> Request {
+pub(crate) fn chat(model: &str, prompt: &str, tokens: u64) -> Request {
     let message = Message {
         role: "user".into(),
         content: prompt.into(),
@@ -193,7 +193,7 @@
 }
 
 fn all_effects(bed: &Testbed) -> u64 {
-    let stats = bed.services.values().map(|service| service.stats());
+    let stats = bed.services.values().map(Service::stats);
     stats.map(|stats| stats.effects).sum()
 }
 
--- a/crates/cumin-core/src/diff.rs
+++ b/crates/cumin-core/src/diff.rs
@@ -56,7 +56,9 @@
     if options.json {
         terminal.json(&changes);
     } else {
-        changes.iter().for_each(|change| terminal.print(change));
+        for change in &changes {
+            terminal.print(change);
+        }
     }
     Ok(if changes.is_empty() {
         Status::Done
--- a/crates/cumin-core/src/promote.rs
+++ b/crates/cumin-core/src/promote.rs
@@ -73,7 +73,9 @@
     match promote(&Options::read(args)?)? {
         Outcome::Promoted(document) => terminal.print(document.render().trim_end()),
         Outcome::Compared(changes) => {
-            changes.iter().for_each(|change| terminal.print(change));
+            for change in &changes {
+                terminal.print(change);
+            }
             if !changes.is_empty() {
                 return Ok(Status::Broken);
             }
--- /dev/null
+++ b/crates/cumin-core/tests/all/load_report.rs
@@ -0,0 +1,146 @@
+use std::time::Duration;
+
+use cumin_core::Status;
+use cumin_core::load::{Kind, Mix, arrivals};
+use serde_json::Value;
+
+use crate::support::{Scratch, ctl};
+
+fn sum(counts: &Value) -> u64 {
+    let counts = counts.as_object().expect("counts by outcome").values();
+    counts.map(|count| count.as_u64().expect("a count")).sum()
+}
+
+/// Guards against calls that a report loses or counts twice, and against kinds left out.
+#[test]
+fn report_adds_up() {
+    let (json, svg) = (Scratch::new(""), Scratch::new(""));
+    let ended = ctl(&[
+        "load",
+        "--demo",
+        "--seconds",
+        "2",
+        "--rate",
+        "25",
+        "--seed",
+        "7",
+        "--json",
+        json.path(),
+        "--svg",
+        svg.path(),
+    ]);
+    assert_eq!(ended.status, Status::Done, "{ended:?}");
+    let read = |file: &Scratch| std::fs::read_to_string(file.path()).expect("the file is written");
+    let report: Value = serde_json::from_str(&read(&json)).expect("JSON");
+    let plan = arrivals(7, 25.0, 2, &Mix::default());
+    assert_eq!(report["calls"], plan.len());
+    let kinds = report["kinds"].as_object().expect("kinds");
+    for (name, kind) in kinds {
+        let planned = plan
+            .iter()
+            .filter(|arrival| arrival.kind.to_string() == *name);
+        assert_eq!(kind["calls"], planned.count(), "{name}");
+        assert_eq!(kind["calls"], sum(&kind["outcomes"]), "{name}");
+        assert_eq!(kind["calls"], kind["total"]["count"], "{name}");
+        assert_eq!(kind["calls"], kind["outcomes"]["done"], "{name}");
+    }
+    assert_eq!(kinds.len(), 5);
+    let timeline = report["timeline"].as_array().expect("seconds");
+    assert_eq!(report["calls"], timeline.iter().map(sum).sum::<u64>());
+    let tokens = |kind| match kind {
+        Kind::Chat => 60,
+        Kind::Review => 200,
+        Kind::Check => 20,
+        Kind::Lookup | Kind::Action => 0,
+    };
+    let tokens: u64 = plan.iter().map(|arrival| tokens(arrival.kind)).sum();
+    assert_eq!(report["tokens"], tokens);
+    let streams = report["first"]["count"].as_u64().expect("a count");
+    assert_eq!(report["between"]["count"], tokens - streams);
+    assert_eq!(
+        (&report["repeated"], &report["skipped"]),
+        (&0.into(), &0.into())
+    );
+    let svg = read(&svg);
+    assert!(svg.starts_with("<svg") && svg.contains("first token") && svg.contains("done"));
+}
+
+/// Guards against a run that can't be repeated, and a rate or mix that is not the one asked for.
+#[test]
+fn arrivals_follow_seed() {
+    let mix: Mix = "chat=3,action=1".parse().expect("a mix");
+    let plan = arrivals(1, 100.0, 100, &mix);
+    assert_eq!(plan, arrivals(1, 100.0, 100, &mix));
+    assert_ne!(plan, arrivals(2, 100.0, 100, &mix));
+    // Five standard deviations of a Poisson count of 10,000 are 500.
+    assert!(plan.len().abs_diff(10_000) < 500, "{}", plan.len());
+    let actions = plan.iter().filter(|arrival| arrival.kind == Kind::Action);
+    assert!(actions.count().abs_diff(2_500) < 250);
+    assert!(plan.is_sorted_by_key(|arrival| arrival.at));
+    assert!(
+        plan.iter()
+            .all(|arrival| arrival.at < Duration::from_secs(100))
+    );
+}
+
+/// Guards against load on a machine that is not this one, and against unnamed bad values.
+#[test]
+fn load_input_checked() {
+    for (args, text) in [
+        (
+            &["--entries", "10.20.0.11:8080", "--key", "k"][..],
+            "--entries: found \"10.20.0.11:8080\"",
+        ),
+        (
+            &["--entries", "127.0.0.1:1,[2001:db8::1]:2", "--key", "k"],
+            "\"[2001:db8::1]:2\"",
+        ),
+        (
+            &["--entries", "localhost:8080", "--key", "k"],
+            "--entries: found \"localhost:8080\"",
+        ),
+        (
+            &["--entries", "127.0.0.1:0", "--key", "k"],
+            "loopback addresses with ports",
+        ),
+        (&["--entries", "127.0.0.1:1"], "--key: found nothing"),
+        (&[], "--entries: found nothing"),
+        (
+            &["--demo", "--entries", "127.0.0.1:1"],
+            "nothing with --demo",
+        ),
+        (&["--demo", "--rate", "-1"], "--rate: found"),
+        (&["--demo", "--rate", "nan"], "--rate: found"),
+        (&["--demo", "--seconds", "0"], "--seconds: found 0"),
+        (&["--demo", "--mix", "chat=0"], "--mix: found \"chat=0\""),
+        (&["--demo", "--mix", "chat=1,tea=1"], "--mix: found"),
+        (
+            &["--demo", "--json", "/nowhere/report.json"],
+            "/nowhere/report.json",
+        ),
+    ] {
+        let ended = ctl(&[&["load"], args].concat());
+        assert_eq!(ended.status, Status::Usage, "{args:?}: {ended:?}");
+        assert!(ended.err.contains(text), "{args:?}: {ended:?}");
+    }
+}
+
+/// Guards against an unreachable system that is reported as bad usage or as done.
+#[test]
+fn unreachable_entry_reported() {
+    // The listener is bound and closed, so that nothing answers at its port.
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = closed.local_addr().expect("an address").to_string();
+    drop(closed);
+    let ended = ctl(&[
+        "load",
+        "--entries",
+        &address,
+        "--key",
+        "k",
+        "--seconds",
+        "1",
+    ]);
+    assert_eq!(ended.status, Status::Refused, "{ended:?}");
+    assert!(ended.err.contains(&format!("no entry answers: {address}")));
+}
--- a/crates/cumin-core/tests/all/main.rs
+++ b/crates/cumin-core/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod bad_input;
 mod demo_promises;
 mod documents;
+mod load_report;
 mod support;
