Let callers wait as a refusal asks; keep the demo inside its quotas

Its caller waits for retry-after. A stream that ends within its notice stays where it is, so the demo uses a notice that is shorter than the rest of the stream, and a second, idle engine for the promise about new work.

--- a/crates/cumin-client/src/lib.rs
+++ b/crates/cumin-client/src/lib.rs
@@ -32,6 +32,8 @@
     pub timeout: Duration,
     /// Pause before a call goes to another entry.
     pub pause: Duration,
+    /// Longest `retry-after` that is waited for when a call is refused as not run.
+    pub patience: Duration,
     /// True to use no entry that is not on a loopback address, whoever names it.
     pub loopback: bool,
 }
@@ -44,6 +46,7 @@
             tries: 20,
             timeout: Duration::from_secs(15),
             pause: Duration::from_millis(100),
+            patience: Duration::ZERO,
             loopback: false,
         }
     }
@@ -61,6 +64,8 @@
         outcome: Option<Outcome>,
         /// The body of the answer.
         body: String,
+        /// Time after which a new try can succeed, where the answer says so.
+        after: Option<Duration>,
     },
     /// No entry could be reached, or every one broke off.
     #[display("no entry gave an answer: {reason}")]
@@ -162,6 +167,23 @@
     }
 }
 
+impl Client {
+    /// Waits as a refusal asks; false when it asks for more than this client's patience.
+    async fn wait(&self, after: Option<Duration>) -> bool {
+        let Some(after) = after.filter(|after| *after <= self.options.patience) else {
+            return false;
+        };
+        actix_rt::time::sleep(after).await;
+        true
+    }
+}
+
+/// Reads after what time an answer allows a new try.
+fn retry_after<S>(answer: &awc::ClientResponse<S>) -> Option<Duration> {
+    let value = answer.headers().get("retry-after")?.to_str().ok()?;
+    value.parse().ok().map(Duration::from_secs)
+}
+
 /// Reads what an answer says of the outcome.
 fn outcome<S>(answer: &awc::ClientResponse<S>) -> Option<Outcome> {
     let value = answer
--- a/crates/cumin-client/src/plain.rs
+++ b/crates/cumin-client/src/plain.rs
@@ -4,7 +4,7 @@
 use cumin_wire::header;
 use uuid::Uuid;
 
-use crate::{Client, Error, outcome};
+use crate::{Client, Error, outcome, retry_after};
 
 /// A call of a plain service.
 #[derive(Clone, Debug, Default)]
@@ -32,6 +32,8 @@
     pub id: String,
     /// The body.
     pub body: String,
+    /// Time after which a new try can succeed, when the call was refused.
+    pub after: Option<std::time::Duration>,
 }
 
 impl Client {
@@ -68,6 +70,7 @@
             .and_then(|id| id.to_str().ok());
         let id = id.unwrap_or_default().to_owned();
         let (status, outcome) = (answer.status().as_u16(), outcome(&answer));
+        let after = retry_after(&answer);
         let body = answer
             .body()
             .await
@@ -78,6 +81,7 @@
             outcome,
             id,
             body,
+            after,
         })
     }
 
@@ -89,11 +93,15 @@
         let mut last = unreachable("no try was made");
         for _ in 0..self.options.tries {
             match self.call_once(call).await {
+                Ok(answer)
+                    if answer.outcome == Some(Outcome::NotRun) && self.wait(answer.after).await => {
+                }
                 Ok(answer) if answer.outcome == Some(Outcome::NotRun) && answer.status >= 500 => {
                     last = Error::Refused {
                         status: answer.status,
                         outcome: answer.outcome,
                         body: answer.body,
+                        after: answer.after,
                     };
                 }
                 Ok(answer) => return Ok(answer),
--- a/crates/cumin-client/src/stream.rs
+++ b/crates/cumin-client/src/stream.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 
 use crate::plain::unreachable;
-use crate::{Client, Error, outcome};
+use crate::{Client, Error, outcome, retry_after};
 
 /// A completion that was streamed to its end.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -95,7 +95,17 @@
             let Some(entry) = next.take().or_else(|| self.any()) else {
                 return Err(unreachable("no entry is known"));
             };
-            match self.connect(entry, &body, &mut reading).await? {
+            let ended = match self.connect(entry, &body, &mut reading).await {
+                Err(Error::Refused {
+                    outcome: Some(Outcome::NotRun),
+                    after,
+                    ..
+                }) if self.wait(after).await => {
+                    continue;
+                }
+                ended => ended?,
+            };
+            match ended {
                 Ended::Whole => return Ok(reading.streamed),
                 Ended::Moved(entries) => {
                     next = entries.into_iter().find(|entry| self.allowed(*entry));
@@ -152,11 +162,12 @@
         };
         let status = answer.status().as_u16();
         if status != 200 {
-            let outcome = outcome(&answer);
+            let (outcome, after) = (outcome(&answer), retry_after(&answer));
             let body = answer.body().await.unwrap_or_default();
             let body = String::from_utf8_lossy(&body).into_owned();
             // The second may not have noticed the owner's end yet, and a leaving entry refuses.
-            let again = !id.is_empty() || (status >= 500 && outcome == Some(Outcome::NotRun));
+            let again = !id.is_empty()
+                || (status >= 500 && outcome == Some(Outcome::NotRun) && after.is_none());
             if again {
                 return Ok(Ended::Broken(format!("status {status}: {body}")));
             }
@@ -164,6 +175,7 @@
                 status,
                 outcome,
                 body,
+                after,
             });
         }
         let headers = answer.headers();
--- a/crates/cumin-core/src/demo/checks.rs
+++ b/crates/cumin-core/src/demo/checks.rs
@@ -110,7 +110,8 @@
 }
 
 pub(super) fn caller(bed: &Testbed) -> Client {
-    bed.client(KEYS[0])
+    // The demo keeps to its organisations' quotas: it waits when one is used up.
+    bed.patient(KEYS[0])
 }
 
 /// Compares an answer with what the engines generate for the request.
--- a/crates/cumin-core/src/demo/faults.rs
+++ b/crates/cumin-core/src/demo/faults.rs
@@ -1,7 +1,7 @@
 //! The checks of streams whose engine or node goes away.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time::{sleep, timeout};
 use cumin_client::{Client, Error, Streamed};
@@ -17,8 +17,10 @@
 const TOKENS: u64 = 400;
 /// Promised time from a notice to the last new work.
 const LEAVING: Duration = Duration::from_secs(3);
-/// Notice of the reclaim: the engine still answers when the promise is checked.
-const NOTICE: Duration = Duration::from_secs(6);
+/// Notice of an idle engine: it still answers when the promise is checked.
+const LONG_NOTICE: Duration = Duration::from_secs(6);
+/// Notice of the stream's engine: shorter than the rest of the stream.
+const NOTICE: Duration = Duration::from_millis(600);
 
 /// Streams `request` and does `event` in the middle of it.
 async fn during<T>(
@@ -50,29 +52,43 @@
     "the stream ended before the fault".into()
 }
 
-/// Reclaims the engine of a stream; returns what the stream saw, and what new calls did.
+/// Reclaims an idle engine, and the engine of a stream; returns what the stream saw, and what
+/// new calls did with the idle engine.
 pub(super) async fn reclaim(bed: &Testbed) -> (Seen, Seen) {
+    let idle = bed
+        .engines
+        .iter()
+        .find(|(_, engine)| engine.attempts().is_empty())
+        .map(|(id, _)| id.clone());
+    let Some(idle) = idle.filter(|id| bed.cloud.reclaim(id, LONG_NOTICE)) else {
+        return (
+            Err("no engine was idle".into()),
+            Err("no engine was idle".into()),
+        );
+    };
+    let noticed = Instant::now();
+    let seen = moved(bed, &idle).await;
+    sleep(LEAVING.saturating_sub(noticed.elapsed())).await;
+    (seen, left(bed, &idle).await)
+}
+
+async fn moved(bed: &Testbed, idle: &str) -> Seen {
     let request = chat("crumb-8b", "a long review of the season", TOKENS);
     let before = bed.engine_stats();
-    let (answer, engine) = during(bed, &request, async || {
-        let engine = busy_engine(bed)?;
-        bed.cloud.reclaim(&engine, NOTICE).then_some(engine)
+    let (answer, hit) = during(bed, &request, async || {
+        let engine = busy_engine(bed).filter(|engine| engine != idle)?;
+        bed.cloud.reclaim(&engine, NOTICE).then_some(())
     })
     .await;
-    let Some(engine) = engine else {
-        return (Err(missed()), Err(missed()));
-    };
+    hit.ok_or_else(missed)?;
     let after = bed.engine_stats();
-    let seen = whole(&request, &answer).and_then(|seen| {
-        // Without a second attempt the stream stayed where it was, and nothing was shown.
-        if after.attempts - before.attempts < 2 {
-            return Err(format!("{seen}, but the stream did not move"));
-        }
-        let recomputed = after.recomputed - before.recomputed;
-        Ok(format!("{seen}, {recomputed} recomputed"))
-    });
-    sleep(LEAVING).await;
-    (seen, left(bed, &engine).await)
+    let seen = whole(&request, &answer)?;
+    // Without a second attempt the stream stayed where it was, and nothing was shown.
+    if after.attempts - before.attempts < 2 {
+        return Err(format!("{seen}, but the stream did not move"));
+    }
+    let recomputed = after.recomputed - before.recomputed;
+    Ok(format!("{seen}, {recomputed} recomputed"))
 }
 
 /// Sends chats after the notice and counts those that the leaving engine gets.
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -280,6 +280,17 @@
         })
     }
 
+    /// Returns a caller that waits when its organisation's quota is used up.
+    #[must_use]
+    pub fn patient(&self, key: &str) -> Client {
+        Client::new(cumin_client::Options {
+            key: key.into(),
+            entries: self.entries(),
+            patience: Duration::from_secs(3),
+            ..cumin_client::Options::default()
+        })
+    }
+
     /// Stops a node as SIGTERM does; completes when it has stopped.
     pub async fn stop_node(&self, number: usize) {
         let node = self.nodes.borrow_mut()[number].take();
