Run the fairness test long enough to tell change from chance

With the quota on, 2 of 40 trial seeds of 300 s broke the 20% bound (seed 30 by 30%), others fell by as much: at 90% load the p95 of 2,900 requests is mostly chance. The test now runs 3,000 s for this case and includes seed 30; the bound is unchanged.

--- a/crates/cumin-admit/tests/all/fairness.rs
+++ b/crates/cumin-admit/tests/all/fairness.rs
@@ -12,7 +12,6 @@
 const SLOTS: usize = 16;
 /// Tokens a second of one slot.
 const SPEED: u64 = 1000;
-const LENGTH: u64 = 300_000;
 
 struct Run {
     admission: Admission,
@@ -54,6 +53,8 @@
 /// Returns the small organisation's p95 queueing delay, and how many of its requests ran. Five organisations have a share of a
 /// fifth of 90% of the capacity; `large` asks for `factor` times its share.
 fn p95(seed: u64, factor: u64, limited: bool) -> (u64, usize) {
+    // With 300 s the p95 at 90% load varies by a third from run to run; a backlog varies less.
+    let length: u32 = if limited { 3_000_000 } else { 300_000 };
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let names = ["large", "a", "b", "c", "small"];
     // 300 tokens on average: 16 slots serve 53 requests a second.
@@ -78,7 +79,7 @@
         #[expect(clippy::cast_precision_loss, reason = "small numbers")]
         let gap = 1000.0 / (share * times as f64);
         let mut at = 0.0;
-        while at < 300_000.0 {
+        while at < f64::from(length) {
             at += -gap * (1.0 - own.random::<f64>()).ln();
             #[expect(
                 clippy::cast_possible_truncation,
@@ -111,7 +112,7 @@
         }
         run.admission.expire(Millis(at));
     }
-    run.advance(LENGTH * 2);
+    run.advance(u64::from(length) * 2);
     run.delays.sort_unstable();
     (run.delays[run.delays.len() * 95 / 100], run.delays.len())
 }
@@ -121,7 +122,7 @@
 #[test]
 fn large_organisation_does_not_delay_a_small_one() {
     for limited in [true, false] {
-        for seed in 0..5 {
+        for seed in [0, 5, 9, 30] {
             let (base, all) = p95(seed, 1, limited);
             let (loaded, ran) = p95(seed, 10, limited);
             println!(
