--- a/crates/cumin-core/src/load.rs
+++ b/crates/cumin-core/src/load.rs
@@ -245,6 +245,7 @@
         key: options.key.clone(),
         entries: entries.clone(),
         loopback: true,
+        tries: 5,
         ..cumin_client::Options::default()
     }));
     if !client.refresh().await {
--- a/crates/cumin-core/src/load/report.rs
+++ b/crates/cumin-core/src/load/report.rs
@@ -180,7 +180,7 @@
                 .map(|(outcome, count)| format!("{outcome} {count}"))
                 .collect();
             terminal.print(format!(
-                "{name:8} {}  total {}",
+                "{name}: {}  total {}",
                 outcomes.join(", "),
                 kind.total.row()
             ));
--- a/crates/cumin-core/src/load/send.rs
+++ b/crates/cumin-core/src/load/send.rs
@@ -130,7 +130,8 @@
         key,
         body: body.into(),
     };
-    match client.call(&call).await {
+    // Each call counts once: a retry would hide that it was refused.
+    match client.call_once(&call).await {
         Ok(answer) if answer.outcome.is_none() && answer.status >= 400 => "refused",
         Ok(answer) => told(answer.outcome),
         Err(error) => failed(&error),
