--- a/crates/cumin-member/examples/scale.rs
+++ b/crates/cumin-member/examples/scale.rs
@@ -25,7 +25,8 @@
     Load {
         messages: share(net.messages - messages),
         bytes: share(net.bytes - bytes),
-        busy: share(u64::try_from((net.busy - busy).as_nanos()).expect("short")) / 1000.0,
+        busy: share(u64::try_from(net.busy.saturating_sub(busy).as_nanos()).expect("short"))
+            / 1000.0,
     }
 }
 
--- a/crates/cumin-member/src/lib.rs
+++ b/crates/cumin-member/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Call`] number. Changes and [`Item`]s ride on the calls in both directions; a digest on each
 //! call finds what they missed. `docs/design/membership.md` states the protocol.
 
+mod belief;
 mod event;
 mod items;
 mod member;
--- a/crates/cumin-member/tests/all/items.rs
+++ b/crates/cumin-member/tests/all/items.rs
@@ -2,13 +2,14 @@
 
 use crate::net::{Net, item};
 
-/// Work sent to a leaving endpoint after 3 s breaks an invariant of the design.
+/// Work sent to a leaving endpoint after 3 s breaks an invariant of the design. Several rounds on
+/// few nodes guard against news that is cut short where small groups agree: items once took 8 s.
 #[test]
 fn item_reaches_all_within_three_seconds() {
     for (count, seed) in [(4, 1), (16, 2), (64, 3), (128, 4), (330, 5)] {
         let mut net = Net::settled(count, seed);
         net.loss = 0.2;
-        for round in 0..5 {
+        for round in 0..(800 / count).clamp(3, 50) {
             let key = format!("endpoint/oven-{round}");
             net.publish(count / 2, item(&key, 1));
             let told = net.until(3_000, |net| net.all_have(&key, 1));
--- a/crates/cumin-member/tests/all/leave.rs
+++ b/crates/cumin-member/tests/all/leave.rs
@@ -6,12 +6,15 @@
     held.is_some_and(|status| !status.live())
 }
 
-/// New work that reaches a leaving node after 3 s breaks the invariant of leaving endpoints.
+/// New work that reaches a leaving node after 3 s breaks the invariant of leaving endpoints. The
+/// time under loss beforehand guards against false suspicions that fill all messages: at 330
+/// nodes a leave once took 33 s.
 #[test]
 fn leave_reaches_all_within_three_seconds() {
     for (count, seed) in [(4, 1), (16, 2), (64, 3), (128, 4), (330, 5)] {
         let mut net = Net::settled(count, seed);
         net.loss = 0.2;
+        net.run(4_000);
         net.leave(1);
         let told = net.until(3_000, |net| net.all_hold(1, out));
         assert!(told.is_some(), "{count} nodes: {}", net.state());
--- a/crates/cumin-member/tests/all/net.rs
+++ b/crates/cumin-member/tests/all/net.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, missing_docs)] // the example uses another part of it than the tests
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -515,10 +516,12 @@
                 .map(|record| format!("{} {}", record.member.name, record.status))
                 .collect();
             let (live, trusted) = (machine.live().count(), machine.trusted(self.time(index)));
-            text += &format!(
-                "\n{index}: live={live} trusted={trusted} digest={:x} {odd:?}",
-                machine.digest()
-            );
+            let digest = machine.digest();
+            write!(
+                text,
+                "\n{index}: live={live} trusted={trusted} digest={digest:x} {odd:?}"
+            )
+            .expect("a string takes all");
         }
         text.chars().take(6_000).collect()
     }
--- a/crates/cumin-member/tests/all/seeds.rs
+++ b/crates/cumin-member/tests/all/seeds.rs
@@ -27,9 +27,9 @@
     machine.seeded([Seed::Address(member(1, 5).rpc)], Millis(0));
     let effects = machine.tick(Millis(0), &mut rng);
     assert!(!machine.trusted(Millis(0)), "a seed was not heard yet");
-    effects
-        .iter()
-        .for_each(|effect| machine.failed(effect.call(), Millis(10)));
+    for effect in &effects {
+        machine.failed(effect.call(), Millis(10));
+    }
     assert!(machine.trusted(Millis(10)));
     assert!(!machine.trusted(Millis(10_000)), "its timer is late");
 }
--- a/crates/cumin-node/src/caller.rs
+++ b/crates/cumin-node/src/caller.rs
@@ -27,12 +27,19 @@
 /// # Errors
 /// When the listener can't be registered with the event loop.
 pub(crate) fn serve(ctx: &Rc<Ctx>, listener: TcpListener) -> io::Result<Server> {
-    let options = Options { connections: ctx.settings.limits.connections, ..Options::default() };
+    let options = Options {
+        connections: ctx.settings.limits.connections,
+        ..Options::default()
+    };
     let ctx = Rc::clone(ctx);
     let handler: Handler = Rc::new(move |request| {
         let ctx = Rc::clone(&ctx);
-        async move { route(&ctx, request).await.unwrap_or_else(|problem| problem.answer()) }
-            .boxed_local()
+        async move {
+            route(&ctx, request)
+                .await
+                .unwrap_or_else(|problem| problem.answer())
+        }
+        .boxed_local()
     });
     Server::listen(listener, options, handler)
 }
@@ -43,7 +50,9 @@
     let open = match (&method, path.as_str()) {
         (&Method::GET, "/healthz") => Some(reply::text(StatusCode::OK, "ok")),
         (&Method::GET, "/readyz") if ctx.ready.get() => Some(reply::text(StatusCode::OK, "ready")),
-        (&Method::GET, "/readyz") => Some(reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready")),
+        (&Method::GET, "/readyz") => {
+            Some(reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready"))
+        }
         (&Method::GET, "/metrics") => Some(reply::text(StatusCode::OK, &ctx.metrics.text())),
         (&Method::GET, "/v1/entries") => Some(entries::list(ctx)),
         _ => None,
@@ -74,12 +83,16 @@
     let key = value.ok_or_else(|| Problem::unauthorised("send `authorization: Bearer KEY`"))?;
     let document = ctx.document();
     let org = document.organisation_for_key(key);
-    org.cloned().ok_or_else(|| Problem::unauthorised("the key belongs to no organisation"))
+    org.cloned()
+        .ok_or_else(|| Problem::unauthorised("the key belongs to no organisation"))
 }
 
 /// Returns a header as text.
 fn text<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request.headers().get(name).and_then(|value| value.to_str().ok())
+    request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
 }
 
 /// Reads the time left to the deadline.
--- a/crates/cumin-node/src/caller/completion.rs
+++ b/crates/cumin-node/src/caller/completion.rs
@@ -25,24 +25,34 @@
 ) -> Result<Response<BoxBody>, Problem> {
     let left = super::deadline(ctx, &request)?;
     let limit = ctx.settings.limits.body_bytes;
-    let bytes = read_body(&mut request, limit).await.map_err(|error| refuse(error, limit))?;
+    let bytes = read_body(&mut request, limit)
+        .await
+        .map_err(|error| refuse(error, limit))?;
     let body = parse(&bytes, chat)?;
     let model = Model::from(body.model.as_str());
-    let default = if body.stream { Priority::Live } else { Priority::Normal };
+    let default = if body.stream {
+        Priority::Live
+    } else {
+        Priority::Normal
+    };
     let priority = super::priority(&request, default)?;
     let service = {
         let document = ctx.document();
         let found = document.service_of_model(&model);
-        found.map(|(service, _)| service.clone()).ok_or_else(|| {
-            Problem::not_found(format!("no service serves the model {model}"))
-        })?
+        found
+            .map(|(service, _)| service.clone())
+            .ok_or_else(|| Problem::not_found(format!("no service serves the model {model}")))?
     };
     let stream = body.stream;
     let descriptor = Descriptor {
         id: RequestId::now(),
         org,
         service,
-        call: Call::Completion { model, chat, stream },
+        call: Call::Completion {
+            model,
+            chat,
+            stream,
+        },
         body: reply::to_json(&body),
         priority,
         left,
@@ -68,8 +78,9 @@
 }
 
 fn parse(bytes: &[u8], chat: bool) -> Result<wire::Request, Problem> {
-    let mut body: wire::Request = serde_json::from_slice(bytes)
-        .map_err(|error| Problem::invalid(format!("the body is not a completion request: {error}")))?;
+    let mut body: wire::Request = serde_json::from_slice(bytes).map_err(|error| {
+        Problem::invalid(format!("the body is not a completion request: {error}"))
+    })?;
     if body.model.is_empty() {
         return Err(Problem::invalid("`model` is missing"));
     }
@@ -80,7 +91,9 @@
         return Err(Problem::invalid("`prompt` is missing"));
     }
     if body.max_tokens == Some(0) {
-        return Err(Problem::invalid("`max_tokens` is 0; at least 1 is accepted"));
+        return Err(Problem::invalid(
+            "`max_tokens` is 0; at least 1 is accepted",
+        ));
     }
     // Only this system resumes answers; a caller resumes by request id.
     body.resume = None;
@@ -116,7 +129,8 @@
 
 /// Returns the address of the second node, or `none`.
 pub(super) fn second(live: &Live) -> String {
-    live.second().map_or_else(|| "none".into(), |second| second.caller.to_string())
+    live.second()
+        .map_or_else(|| "none".into(), |second| second.caller.to_string())
 }
 
 /// Answers with the stream from `from` on, or with the whole answer when it is there.
@@ -141,7 +155,9 @@
         .insert_header((header::REQUEST_ID, live.id.to_string()))
         .insert_header((header::SECOND, second(&live)));
     let events = stream::events(ctx, live, from);
-    answer.body(BodyStream::new(Box::pin(events))).map_into_boxed_body()
+    answer
+        .body(BodyStream::new(Box::pin(events)))
+        .map_into_boxed_body()
 }
 
 /// Waits for the end and answers with the whole.
@@ -164,7 +180,9 @@
 /// Sends the caller to the node that goes on with the request.
 fn moved(live: &Live) -> Response<BoxBody> {
     let path = format!("/v1/requests/{}?wait=true", live.id);
-    let to = live.second().map_or(path.clone(), |second| format!("http://{}{path}", second.caller));
+    let to = live.second().map_or(path.clone(), |second| {
+        format!("http://{}{path}", second.caller)
+    });
     Response::build(StatusCode::SEE_OTHER)
         .insert_header((header::REQUEST_ID, live.id.to_string()))
         .insert_header(("location", to))
@@ -185,13 +203,23 @@
         return super::plain::result(descriptor.id, finish);
     };
     let content = transcript.text().to_owned();
-    let mut choice = AnswerChoice { finish_reason: Some(finish.reason.clone()), ..AnswerChoice::default() };
+    let mut choice = AnswerChoice {
+        finish_reason: Some(finish.reason.clone()),
+        ..AnswerChoice::default()
+    };
     if *chat {
-        choice.message = Some(Message { role: "assistant".into(), content });
+        choice.message = Some(Message {
+            role: "assistant".into(),
+            content,
+        });
     } else {
         choice.text = Some(content);
     }
-    let object = if *chat { "chat.completion" } else { "text_completion" };
+    let object = if *chat {
+        "chat.completion"
+    } else {
+        "text_completion"
+    };
     let answer = Answer {
         id: descriptor.id.to_string(),
         object: object.into(),
--- a/crates/cumin-node/src/caller/entries.rs
+++ b/crates/cumin-node/src/caller/entries.rs
@@ -28,19 +28,30 @@
 
 /// Answers `GET /v1/entries`.
 pub(super) fn list(ctx: &Ctx) -> Response<BoxBody> {
-    let entries = ctx.members.entries().into_iter().map(|member| EntryAddress {
-        address: member.caller.to_string(),
-        place: member.place.to_string(),
-        weight: 1,
-    });
-    let list = Entries { revision: 0, ttl_ms: LIST_TTL_MS, entries: entries.collect() };
+    let entries = ctx
+        .members
+        .entries()
+        .into_iter()
+        .map(|member| EntryAddress {
+            address: member.caller.to_string(),
+            place: member.place.to_string(),
+            weight: 1,
+        });
+    let list = Entries {
+        revision: 0,
+        ttl_ms: LIST_TTL_MS,
+        entries: entries.collect(),
+    };
     reply::json(StatusCode::OK, &list)
 }
 
 /// Answers `GET /v1/models`.
 pub(super) fn models(ctx: &Ctx) -> Response<BoxBody> {
     let document = ctx.document();
-    let services = document.services.iter().filter(|(_, spec)| spec.kind == ServiceKind::Model);
+    let services = document
+        .services
+        .iter()
+        .filter(|(_, spec)| spec.kind == ServiceKind::Model);
     let data = services.flat_map(|(service, spec)| {
         spec.models.iter().map(move |model| ModelEntry {
             id: model.to_string(),
@@ -48,5 +59,11 @@
             owned_by: service.to_string(),
         })
     });
-    reply::json(StatusCode::OK, &ModelList { object: "list".into(), data: data.collect() })
+    reply::json(
+        StatusCode::OK,
+        &ModelList {
+            object: "list".into(),
+            data: data.collect(),
+        },
+    )
 }
--- a/crates/cumin-node/src/caller/plain.rs
+++ b/crates/cumin-node/src/caller/plain.rs
@@ -28,8 +28,14 @@
     let service = Service::from(name);
     let method = request.method().to_string();
     let document = ctx.document();
-    if document.services.get(&service).is_none_or(|spec| spec.kind != ServiceKind::Plain) {
-        return Err(Problem::not_found(format!("no plain service is named {name:?}")));
+    if document
+        .services
+        .get(&service)
+        .is_none_or(|spec| spec.kind != ServiceKind::Plain)
+    {
+        return Err(Problem::not_found(format!(
+            "no plain service is named {name:?}"
+        )));
     }
     let repeat = if document.is_idempotent(&service, &method, &format!("/{path}")) {
         Repeat::Idempotent
@@ -44,7 +50,9 @@
     let priority = super::priority(&request, Priority::Live)?;
     let content = text(&request, "content-type").map(str::to_owned);
     let limit = ctx.settings.limits.body_bytes;
-    let bytes = read_body(&mut request, limit).await.map_err(|error| refuse(error, limit))?;
+    let bytes = read_body(&mut request, limit)
+        .await
+        .map_err(|error| refuse(error, limit))?;
     let (body, binary) = match std::str::from_utf8(&bytes) {
         Ok(text) => (text.to_owned(), false),
         Err(_) => (hex::encode(&bytes), true),
@@ -53,7 +61,13 @@
         id: RequestId::now(),
         org,
         service,
-        call: Call::Plain { method, path, content, binary, repeat },
+        call: Call::Plain {
+            method,
+            path,
+            content,
+            binary,
+            repeat,
+        },
         body,
         priority,
         left,
@@ -72,7 +86,9 @@
             "this call is not idempotent: send `idempotency-key` with a UUIDv7",
         ));
     };
-    let key = Uuid::parse_str(value).ok().filter(|key| key.get_version_num() == 7);
+    let key = Uuid::parse_str(value)
+        .ok()
+        .filter(|key| key.get_version_num() == 7);
     key.ok_or_else(|| {
         Problem::not_run(
             StatusCode::BAD_REQUEST,
--- a/crates/cumin-node/src/caller/reply.rs
+++ b/crates/cumin-node/src/caller/reply.rs
@@ -49,9 +49,10 @@
         let (status, message) = match finish.outcome {
             Outcome::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "the request was not run"),
             Outcome::Unknown => (StatusCode::BAD_GATEWAY, "the request may have taken effect"),
-            _ if finish.reason == "deadline" => {
-                (StatusCode::GATEWAY_TIMEOUT, "the deadline passed before the whole answer")
-            }
+            _ if finish.reason == "deadline" => (
+                StatusCode::GATEWAY_TIMEOUT,
+                "the deadline passed before the whole answer",
+            ),
             _ => (StatusCode::BAD_GATEWAY, "no endpoint gave the whole answer"),
         };
         Self {
@@ -66,7 +67,10 @@
 
     /// Adds the request's identifier.
     pub(crate) fn of(self, id: RequestId) -> Self {
-        Self { id: Some(id), ..self }
+        Self {
+            id: Some(id),
+            ..self
+        }
     }
 
     /// Sets what became of the request.
@@ -76,12 +80,19 @@
 
     /// Adds a time after which a new try can succeed.
     pub(crate) fn retry(self, after: Millis) -> Self {
-        Self { retry: Some(after), ..self }
+        Self {
+            retry: Some(after),
+            ..self
+        }
     }
 
     /// Returns the body.
     pub(crate) fn body(&self) -> ErrorBody {
-        let kind = if self.status.is_client_error() { "invalid_request_error" } else { "server_error" };
+        let kind = if self.status.is_client_error() {
+            "invalid_request_error"
+        } else {
+            "server_error"
+        };
         ErrorBody {
             error: ErrorDetail {
                 message: self.message.clone(),
--- a/crates/cumin-node/src/caller/resume.rs
+++ b/crates/cumin-node/src/caller/resume.rs
@@ -42,7 +42,10 @@
     let id = parse(id)?;
     let from = position(request)?;
     let accept = text(request, "accept").is_some_and(|value| value.contains("text/event-stream"));
-    let wait = request.uri().query().is_some_and(|query| query.contains("wait=true"));
+    let wait = request
+        .uri()
+        .query()
+        .is_some_and(|query| query.contains("wait=true"));
     let source = locate(ctx, id, org).await?;
     match source {
         Source::Ended(given) => ended(&given, from, accept),
@@ -57,7 +60,11 @@
             } else if wait {
                 whole(&live).await
             } else {
-                let state = Running { id: id.to_string(), status: "running", position: live.acked() };
+                let state = Running {
+                    id: id.to_string(),
+                    status: "running",
+                    position: live.acked(),
+                };
                 Ok(reply::json(StatusCode::ACCEPTED, &state))
             }
         }
@@ -65,9 +72,16 @@
 }
 
 /// Answers `DELETE /v1/requests/{id}`: the caller gives the request up.
-pub(super) fn cancel(ctx: &Ctx, org: &Organisation, id: &str) -> Result<Response<BoxBody>, Problem> {
+pub(super) fn cancel(
+    ctx: &Ctx,
+    org: &Organisation,
+    id: &str,
+) -> Result<Response<BoxBody>, Problem> {
     let id = parse(id)?;
-    let live = ctx.table.get(id).filter(|live| live.run.borrow().descriptor().org == *org);
+    let live = ctx
+        .table
+        .get(id)
+        .filter(|live| live.run.borrow().descriptor().org == *org);
     let live = live.ok_or_else(|| missing(id))?;
     if live.run.borrow().once() {
         return Err(Problem::not_run(
@@ -83,11 +97,14 @@
 }
 
 fn parse(id: &str) -> Result<RequestId, Problem> {
-    id.parse().map_err(|_| Problem::invalid(format!("{id:?} is not a request id")))
+    id.parse()
+        .map_err(|_| Problem::invalid(format!("{id:?} is not a request id")))
 }
 
 fn missing(id: RequestId) -> Problem {
-    Problem::not_found(format!("no node holds the request {id}")).outcome(Outcome::Unknown).of(id)
+    Problem::not_found(format!("no node holds the request {id}"))
+        .outcome(Outcome::Unknown)
+        .of(id)
 }
 
 fn gap(id: RequestId, from: Position, held: Position) -> Problem {
@@ -105,17 +122,29 @@
         return Ok(None);
     };
     let parsed = value.parse().map(|count| Some(Position(count)));
-    parsed.map_err(|_| Problem::invalid(format!("{}: {value:?} is not a position", header::LAST_EVENT_ID)))
+    parsed.map_err(|_| {
+        Problem::invalid(format!(
+            "{}: {value:?} is not a position",
+            header::LAST_EVENT_ID
+        ))
+    })
 }
 
 /// Finds the request here or elsewhere; one that nobody runs is run here from now on.
 async fn locate(ctx: &Rc<Ctx>, id: RequestId, org: &Organisation) -> Result<Source, Problem> {
     if let Some(live) = ctx.table.get(id).filter(|live| !live.superseded()) {
         let own = live.run.borrow().descriptor().org == *org;
-        return if own { Ok(Source::Running(live)) } else { Err(missing(id)) };
+        return if own {
+            Ok(Source::Running(live))
+        } else {
+            Err(missing(id))
+        };
     }
     let held = ctx.holder.borrow().look(id, ctx.clock.now());
-    if held.as_ref().is_some_and(|held| held.descriptor.org != *org) {
+    if held
+        .as_ref()
+        .is_some_and(|held| held.descriptor.org != *org)
+    {
         return Err(missing(id));
     }
     let given = match held {
@@ -127,7 +156,9 @@
         return Ok(Source::Ended(Box::new(given)));
     }
     ctx.metrics.taken.inc();
-    Ok(Source::Running(request::take_over(ctx, given, "resumed").await))
+    Ok(Source::Running(
+        request::take_over(ctx, given, "resumed").await,
+    ))
 }
 
 /// Takes a request over whose second node this is: from its owner, or from what is held here
@@ -154,7 +185,11 @@
     client.take(id, ctx.settings.name.clone()).await.ok()?
 }
 
-fn ended(given: &Given, from: Option<Position>, accept: bool) -> Result<Response<BoxBody>, Problem> {
+fn ended(
+    given: &Given,
+    from: Option<Position>,
+    accept: bool,
+) -> Result<Response<BoxBody>, Problem> {
     let Some(finish) = &given.finish else {
         return Err(missing(given.descriptor.id));
     };
--- a/crates/cumin-node/src/caller/stream.rs
+++ b/crates/cumin-node/src/caller/stream.rs
@@ -88,8 +88,18 @@
         let mut out = Vec::new();
         let sealed = self.live.sealed();
         let run = self.live.run.borrow();
-        let acked = if sealed.is_some() { run.transcript().position() } else { self.live.acked() };
-        self.sent = tokens(&mut out, &self.descriptor, run.transcript(), self.sent, acked);
+        let acked = if sealed.is_some() {
+            run.transcript().position()
+        } else {
+            self.live.acked()
+        };
+        self.sent = tokens(
+            &mut out,
+            &self.descriptor,
+            run.transcript(),
+            self.sent,
+            acked,
+        );
         if let Some(finish) = sealed {
             end(&mut out, &self.descriptor, run.transcript(), &finish);
             self.ended = true;
@@ -152,7 +162,15 @@
         choice.delta = Some(Delta::default());
     }
     chunk.usage = Some(usage(finish, transcript));
-    sse::write(out, None, None, &to_json(&Last { chunk, outcome: finish.outcome }));
+    sse::write(
+        out,
+        None,
+        None,
+        &to_json(&Last {
+            chunk,
+            outcome: finish.outcome,
+        }),
+    );
     sse::write(out, None, None, "[DONE]");
 }
 
@@ -164,7 +182,13 @@
     from: Position,
 ) -> Vec<u8> {
     let mut out = Vec::new();
-    tokens(&mut out, descriptor, transcript, from, transcript.position());
+    tokens(
+        &mut out,
+        descriptor,
+        transcript,
+        from,
+        transcript.position(),
+    );
     end(&mut out, descriptor, transcript, finish);
     out
 }
--- a/crates/cumin-node/src/clock.rs
+++ b/crates/cumin-node/src/clock.rs
@@ -12,7 +12,9 @@
 
 impl Clock {
     pub(crate) fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self {
+            origin: Instant::now(),
+        }
     }
 
     pub(crate) fn now(&self) -> Millis {
@@ -22,6 +24,8 @@
 
 /// Returns the Unix time; zero when the system clock is before 1970.
 pub(crate) fn wall() -> WallMillis {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     WallMillis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/cumin-node/src/explain.rs
+++ b/crates/cumin-node/src/explain.rs
@@ -51,6 +51,9 @@
     /// Returns the decisions about `subject`, oldest first.
     pub(crate) fn about(&self, subject: &str) -> Vec<Decision> {
         let kept = self.kept.borrow();
-        kept.iter().filter(|decision| decision.subject == subject).cloned().collect()
+        kept.iter()
+            .filter(|decision| decision.subject == subject)
+            .cloned()
+            .collect()
     }
 }
--- a/crates/cumin-node/src/fleet.rs
+++ b/crates/cumin-node/src/fleet.rs
@@ -109,7 +109,11 @@
                 patience: ctx.options.patience,
                 cached: query.prompt,
             };
-            ctx.decisions.note("route", &live.id, &format!("endpoint={name} why=kv_imported"));
+            ctx.decisions.note(
+                "route",
+                &live.id,
+                &format!("endpoint={name} why=kv_imported"),
+            );
             return Ok(picked);
         }
         let mut rng = rand::rng();
@@ -119,7 +123,14 @@
             if excluded == 0 {
                 return Err(error);
             }
-            router.choose(&Query { exclude: Vec::new(), ..query.clone() }, now, &mut rng)
+            router.choose(
+                &Query {
+                    exclude: Vec::new(),
+                    ..query.clone()
+                },
+                now,
+                &mut rng,
+            )
         });
         let choice = chosen.map_err(|error| format!("reason=no_endpoint {error}"))?;
         ctx.decisions.note("route", &live.id, &choice);
@@ -143,7 +154,10 @@
             model,
             blocks: live.prompt.blocks.clone(),
             prompt: live.prompt.tokens + run.transcript().position().0,
-            output: live.prompt.output.saturating_sub(run.transcript().position().0),
+            output: live
+                .prompt
+                .output
+                .saturating_sub(run.transcript().position().0),
             priority: descriptor.priority,
             deadline: Some(live.deadline),
             exclude: run.tried().to_vec(),
@@ -153,7 +167,10 @@
 
     /// Counts an attempt that is about to be sent.
     pub(crate) fn started(&self, picked: &Picked, live: &Live, attempt: AttemptId, now: Millis) {
-        let sent = Sent { endpoint: picked.name.clone(), request: live.id };
+        let sent = Sent {
+            endpoint: picked.name.clone(),
+            request: live.id,
+        };
         self.attempts.borrow_mut().insert(attempt, sent);
         let work = Work {
             attempt,
@@ -165,16 +182,27 @@
     }
 
     /// Takes an attempt off; `broke` says why when it gave no whole answer.
-    pub(crate) fn ended(&self, ctx: &Ctx, picked: &Picked, attempt: AttemptId, broke: Option<&Broke>) {
+    pub(crate) fn ended(
+        &self,
+        ctx: &Ctx,
+        picked: &Picked,
+        attempt: AttemptId,
+        broke: Option<&Broke>,
+    ) {
         self.attempts.borrow_mut().remove(&attempt);
         let finish = match broke {
             Some(cause) if cause.harmless() => Finish::NotStarted,
             _ => Finish::Ran,
         };
         let now = ctx.clock.now();
-        self.router.borrow_mut().finished(&picked.name, attempt, finish, now);
+        self.router
+            .borrow_mut()
+            .finished(&picked.name, attempt, finish, now);
         if let Some(cause) = broke {
-            log::info!("event=attempt_broke attempt={attempt} endpoint={} cause={cause}", picked.name);
+            log::info!(
+                "event=attempt_broke attempt={attempt} endpoint={} cause={cause}",
+                picked.name
+            );
         }
     }
 
@@ -189,10 +217,12 @@
         let tried = live.run.borrow().tried().len();
         let reasons = format!("cause={cause} endpoint={} tried={tried}", picked.name);
         if tried >= MAX_ATTEMPTS {
-            ctx.decisions.note("retry", &live.id, &format!("{reasons} granted=false"));
+            ctx.decisions
+                .note("retry", &live.id, &format!("{reasons} granted=false"));
             return Err(cause.to_string());
         }
-        ctx.decisions.note("retry", &live.id, &format!("{reasons} granted=true"));
+        ctx.decisions
+            .note("retry", &live.id, &format!("{reasons} granted=true"));
         Ok(Duration::ZERO)
     }
 
--- a/crates/cumin-node/src/fleet/reclaim.rs
+++ b/crates/cumin-node/src/fleet/reclaim.rs
@@ -22,9 +22,17 @@
 
 /// Moves all requests of this node that run at `endpoint`, which stops after `left`.
 pub(super) async fn evacuate(ctx: Rc<Ctx>, endpoint: EndpointName, left: Millis) {
-    let from = ctx.fleet.router.borrow().info(&endpoint).map(|info| info.address);
+    let from = ctx
+        .fleet
+        .router
+        .borrow()
+        .info(&endpoint)
+        .map(|info| info.address);
     let running = ctx.fleet.running_at(&ctx, &endpoint);
-    let options = ReclaimOptions { left, ..ReclaimOptions::default() };
+    let options = ReclaimOptions {
+        left,
+        ..ReclaimOptions::default()
+    };
     let plan = plan(&ctx, &endpoint, &running, &options);
     for step in plan {
         let Some((_, live)) = running.iter().find(|(attempt, _)| *attempt == step.attempt) else {
@@ -36,7 +44,10 @@
             (How::Export, Some(from)) => transfer(&ctx, from, &step).await,
             _ => None,
         };
-        live.order(Command::Move { from: endpoint.clone(), to });
+        live.order(Command::Move {
+            from: endpoint.clone(),
+            to,
+        });
     }
 }
 
@@ -79,20 +90,36 @@
 async fn transfer(ctx: &Rc<Ctx>, from: SocketAddr, step: &Move) -> Option<EndpointName> {
     let to = step.to.clone()?;
     let address = ctx.fleet.router.borrow().info(&to)?.address;
-    let export = Export { attempt: step.attempt.to_string() };
+    let export = Export {
+        attempt: step.attempt.to_string(),
+    };
     let exported: Exported = post(ctx, &format!("http://{from}/v1/kv/export"), &export).await?;
-    let import = Import { handle: exported.handle, from: format!("http://{from}") };
+    let import = Import {
+        handle: exported.handle,
+        from: format!("http://{from}"),
+    };
     let imported: Imported = post(ctx, &format!("http://{address}/v1/kv/import"), &import).await?;
-    log::info!("event=kv_moved attempt={} to={to} tokens={}", step.attempt, imported.tokens);
+    log::info!(
+        "event=kv_moved attempt={} to={to} tokens={}",
+        step.attempt,
+        imported.tokens
+    );
     Some(to)
 }
 
 async fn post<T: DeserializeOwned>(ctx: &Ctx, url: &str, body: &impl Serialize) -> Option<T> {
-    let call = ctx.endpoints.post(url).timeout(Duration::from_secs(5)).send_json(body);
+    let call = ctx
+        .endpoints
+        .post(url)
+        .timeout(Duration::from_secs(5))
+        .send_json(body);
     let mut answer = match call.await {
         Ok(answer) if answer.status().is_success() => answer,
         Ok(answer) => {
-            log::warn!("event=kv_move_failed url={url} status={}", answer.status().as_u16());
+            log::warn!(
+                "event=kv_move_failed url={url} status={}",
+                answer.status().as_u16()
+            );
             return None;
         }
         Err(error) => {
--- a/crates/cumin-node/src/fleet/watch.rs
+++ b/crates/cumin-node/src/fleet/watch.rs
@@ -65,7 +65,10 @@
     let mut answer = match ctx.endpoints.get(url).timeout(TIMEOUT).send().await {
         Ok(answer) if answer.status().is_success() => answer,
         Ok(answer) => {
-            log::debug!("event=read_failed url={url} status={}", answer.status().as_u16());
+            log::debug!(
+                "event=read_failed url={url} status={}",
+                answer.status().as_u16()
+            );
             return None;
         }
         Err(error) => {
@@ -85,7 +88,10 @@
 /// Brings the router to what the list says.
 async fn apply(ctx: &Rc<Ctx>, seen: &mut Seen, instances: &[Instance]) {
     let mut listed = BTreeSet::new();
-    for instance in instances.iter().filter(|instance| instance.kind != Kind::Entry) {
+    for instance in instances
+        .iter()
+        .filter(|instance| instance.kind != Kind::Entry)
+    {
         let name = EndpointName::from(instance.id.as_str());
         match instance.state {
             State::Live => {
@@ -115,7 +121,11 @@
         if watched.misses < MISSES {
             return true;
         }
-        ctx.decisions.note("drop_endpoint", name, &format!("reason=not_listed misses={}", watched.misses));
+        ctx.decisions.note(
+            "drop_endpoint",
+            name,
+            &format!("reason=not_listed misses={}", watched.misses),
+        );
         ctx.fleet.router.borrow_mut().remove(name);
         false
     });
@@ -151,7 +161,12 @@
     );
     ctx.decisions.note("add_endpoint", name, &reasons);
     ctx.fleet.router.borrow_mut().upsert(info);
-    Some(Watched { address, engine, misses: 0, reading: Rc::default() })
+    Some(Watched {
+        address,
+        engine,
+        misses: 0,
+        reading: Rc::default(),
+    })
 }
 
 /// Acts on a notice: no new work from now on, and what runs there moves.
@@ -160,13 +175,20 @@
         return;
     }
     ctx.fleet.notice.set(notice.seq);
-    let Some(instance) = instances.iter().find(|instance| instance.id == notice.instance) else {
+    let Some(instance) = instances
+        .iter()
+        .find(|instance| instance.id == notice.instance)
+    else {
         return;
     };
     let left = Millis(notice.left_ms.saturating_sub(notice.age_ms));
     if instance.kind == Kind::Entry {
         if instance.address.as_deref() == Some(&ctx.members.me().caller.to_string()) {
-            ctx.decisions.note("drain", &ctx.settings.name, &format!("reason=reclaim left_ms={left}"));
+            ctx.decisions.note(
+                "drain",
+                &ctx.settings.name,
+                &format!("reason=reclaim left_ms={left}"),
+            );
             ctx.reclaimed.notify_one();
         }
         return;
@@ -176,13 +198,22 @@
 
 fn leave(ctx: &Rc<Ctx>, name: &EndpointName, left: Millis) {
     let until = ctx.clock.now().plus(left.0);
-    let first = ctx.fleet.leaving.borrow_mut().insert(name.clone(), until).is_none();
+    let first = ctx
+        .fleet
+        .leaving
+        .borrow_mut()
+        .insert(name.clone(), until)
+        .is_none();
     if !first {
         return;
     }
     ctx.fleet.router.borrow_mut().leaving(name, until);
     ctx.fleet.changed.notify_waiters();
-    ctx.decisions.note("leave_endpoint", name, &format!("reason=reclaim left_ms={left}"));
+    ctx.decisions.note(
+        "leave_endpoint",
+        name,
+        &format!("reason=reclaim left_ms={left}"),
+    );
     actix_rt::spawn(reclaim::evacuate(Rc::clone(ctx), name.clone(), left));
 }
 
@@ -195,7 +226,10 @@
     let reading = Rc::clone(&watched.reading);
     actix_rt::spawn(async move {
         if let Some(load) = get::<Load>(&ctx, &format!("http://{address}/v1/load")).await {
-            ctx.fleet.router.borrow_mut().report(&name, &load, ctx.clock.now());
+            ctx.fleet
+                .router
+                .borrow_mut()
+                .report(&name, &load, ctx.clock.now());
             ctx.fleet.changed.notify_waiters();
         }
         let after = match ctx.fleet.router.borrow().trust(&name) {
@@ -204,7 +238,11 @@
         };
         let url = format!("http://{address}/v1/cache/events?after={after}");
         let trust = match get::<CacheEvents>(&ctx, &url).await {
-            Some(news) => ctx.fleet.router.borrow_mut().cache_events(&name, &news.events),
+            Some(news) => ctx
+                .fleet
+                .router
+                .borrow_mut()
+                .cache_events(&name, &news.events),
             None => None,
         };
         if matches!(trust, Some(Trust::Untrusted { .. }))
--- a/crates/cumin-node/src/member.rs
+++ b/crates/cumin-node/src/member.rs
@@ -33,7 +33,11 @@
 
 impl Members {
     pub(crate) fn new(me: Member) -> Self {
-        Self { me, leaving: Cell::new(false), others: RefCell::default() }
+        Self {
+            me,
+            leaving: Cell::new(false),
+            others: RefCell::default(),
+        }
     }
 
     pub(crate) fn me(&self) -> &Member {
@@ -49,15 +53,18 @@
     }
 
     pub(crate) fn set(&self, members: impl IntoIterator<Item = Member>) {
-        let others = members.into_iter().filter(|member| member.name != self.me.name);
-        *self.others.borrow_mut() =
-            others.map(|member| (member.name.clone(), member)).collect();
+        let others = members
+            .into_iter()
+            .filter(|member| member.name != self.me.name);
+        *self.others.borrow_mut() = others.map(|member| (member.name.clone(), member)).collect();
     }
 
     /// Returns the live nodes, this one first unless it is leaving.
     pub(crate) fn entries(&self) -> Vec<Member> {
         let me = (!self.leaving.get()).then(|| self.me.clone());
-        me.into_iter().chain(self.others.borrow().values().cloned()).collect()
+        me.into_iter()
+            .chain(self.others.borrow().values().cloned())
+            .collect()
     }
 
     /// Returns the live node of that name, other than this one.
--- a/crates/cumin-node/src/metrics.rs
+++ b/crates/cumin-node/src/metrics.rs
@@ -54,21 +54,56 @@
             replica_batches: Counter::default(),
             registry: Registry::default(),
         };
-        registry.register("requests", "Requests ended, by outcome", metrics.requests.clone());
-        registry.register("requests_running", "Requests in progress", metrics.running.clone());
+        registry.register(
+            "requests",
+            "Requests ended, by outcome",
+            metrics.requests.clone(),
+        );
+        registry.register(
+            "requests_running",
+            "Requests in progress",
+            metrics.running.clone(),
+        );
         for (name, help, counter) in [
             ("attempts", "Attempts sent to endpoints", &metrics.attempts),
             ("tokens", "Tokens accepted from endpoints", &metrics.tokens),
-            ("frames_dropped", "Late, crossed or duplicate frames", &metrics.dropped),
-            ("requests_refused", "Requests refused by admission", &metrics.refused),
-            ("requests_moved", "Requests moved off a leaving endpoint", &metrics.moved),
-            ("requests_unheld", "Requests that no second node held", &metrics.unheld),
-            ("requests_taken", "Requests taken over from another node", &metrics.taken),
-            ("replica_batches", "Batches of tokens sent to second nodes", &metrics.replica_batches),
+            (
+                "frames_dropped",
+                "Late, crossed or duplicate frames",
+                &metrics.dropped,
+            ),
+            (
+                "requests_refused",
+                "Requests refused by admission",
+                &metrics.refused,
+            ),
+            (
+                "requests_moved",
+                "Requests moved off a leaving endpoint",
+                &metrics.moved,
+            ),
+            (
+                "requests_unheld",
+                "Requests that no second node held",
+                &metrics.unheld,
+            ),
+            (
+                "requests_taken",
+                "Requests taken over from another node",
+                &metrics.taken,
+            ),
+            (
+                "replica_batches",
+                "Batches of tokens sent to second nodes",
+                &metrics.replica_batches,
+            ),
         ] {
             registry.register(name, help, counter.clone());
         }
-        Self { registry, ..metrics }
+        Self {
+            registry,
+            ..metrics
+        }
     }
 
     /// Counts a request that ended.
@@ -79,7 +114,9 @@
             Outcome::NotRun => OutcomeLabel::NotRun,
             Outcome::Unknown => OutcomeLabel::Unknown,
         };
-        self.requests.get_or_create(&OutcomeLabels { outcome }).inc();
+        self.requests
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
     }
 
     /// Returns all metrics as text.
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
+use crate::caller;
 use crate::clock::Clock;
 use crate::explain::Decisions;
 use crate::fleet::Fleet;
@@ -22,7 +23,6 @@
 use crate::peer::{self, Call, Client, Found, Inbox};
 use crate::record::Records;
 use crate::request::{self, Replicas, Table};
-use crate::caller;
 
 /// Timing that a deployment has no reason to change; tests do.
 #[derive(Clone, Debug)]
@@ -117,7 +117,11 @@
         .timeout(options.connect_timeout)
         .conn_keep_alive(keep)
         .limit(4096);
-    awc::Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
 }
 
 impl Node {
@@ -125,7 +129,11 @@
     ///
     /// # Errors
     /// When an address can't be bound or no secret is given.
-    pub fn start(settings: Settings, document: Document, options: Options) -> Result<Self, StartError> {
+    pub fn start(
+        settings: Settings,
+        document: Document,
+        options: Options,
+    ) -> Result<Self, StartError> {
         let secret = settings.secret.clone().ok_or(StartError::Secret)?;
         let bind = |address| move |error| StartError::Bind { address, error };
         let (peers, inbox) = peer::serve(settings.peer_listen, secret.expose())
@@ -138,7 +146,10 @@
             caller: settings.advertise.unwrap_or(bound),
             rpc: settings.peer_advertise.unwrap_or(peers.address()),
         };
-        let holder = HolderOptions { requests: settings.limits.requests_held, ..HolderOptions::default() };
+        let holder = HolderOptions {
+            requests: settings.limits.requests_held,
+            ..HolderOptions::default()
+        };
         let ctx = Rc::new(Ctx {
             client: Client::new(secret.expose(), options.peer_timeout),
             endpoints: http_client(&options, Duration::from_secs(15)),
@@ -171,7 +182,12 @@
             ctx.members.me().caller,
             ctx.members.me().rpc
         );
-        Ok(Self { ctx, callers, peers, tasks })
+        Ok(Self {
+            ctx,
+            callers,
+            peers,
+            tasks,
+        })
     }
 
     /// Returns the address for callers.
@@ -195,7 +211,11 @@
     /// hands the rest to second nodes.
     pub async fn stop(self) {
         let ctx = &self.ctx;
-        log::info!("event=draining node={} running={}", ctx.settings.name, ctx.table.len());
+        log::info!(
+            "event=draining node={} running={}",
+            ctx.settings.name,
+            ctx.table.len()
+        );
         ctx.ready.set(false);
         ctx.members.leave();
         let drain = ctx.settings.drain_ms.duration();
@@ -206,7 +226,11 @@
             self.callers.drained().await;
         };
         if actix_rt::time::timeout(drain, idle).await.is_err() {
-            log::warn!("event=drain_timeout node={} running={}", ctx.settings.name, ctx.table.len());
+            log::warn!(
+                "event=drain_timeout node={} running={}",
+                ctx.settings.name,
+                ctx.table.len()
+            );
         }
         log::info!("event=stopped node={}", ctx.settings.name);
     }
@@ -239,7 +263,9 @@
             }
             Call::Progress(batch, reply) => {
                 let mut holder = ctx.holder.borrow_mut();
-                let acks = batch.into_iter().map(|progress| holder.progress(progress, now));
+                let acks = batch
+                    .into_iter()
+                    .map(|progress| holder.progress(progress, now));
                 let _ = reply.send(acks.collect());
             }
             Call::Find(id, reply) => {
--- a/crates/cumin-node/src/peer/client.rs
+++ b/crates/cumin-node/src/peer/client.rs
@@ -17,7 +17,11 @@
 
 impl Client {
     pub(crate) fn new(secret: &str, timeout: Duration) -> Self {
-        Self { secret: secret.into(), timeout, clients: RefCell::default() }
+        Self {
+            secret: secret.into(),
+            timeout,
+            clients: RefCell::default(),
+        }
     }
 
     /// Returns the client for `address`.
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -96,7 +96,10 @@
     module: &RpcModule<Forward>,
     wanted: &str,
 ) -> Response<BoxBody> {
-    let given = request.headers().get("authorization").map_or(&b""[..], |value| value.as_bytes());
+    let given = request
+        .headers()
+        .get("authorization")
+        .map_or(&b""[..], |value| value.as_bytes());
     if !bool::from(given.ct_eq(wanted.as_bytes())) {
         return Response::new(StatusCode::UNAUTHORIZED);
     }
--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -34,7 +34,8 @@
         ctx.metrics.attempts.inc();
         ctx.fleet.started(&picked, live, attempt, ctx.clock.now());
         let ended = follow(ctx, live, &picked, attempt).await;
-        ctx.fleet.ended(ctx, &picked, attempt, broke_of(&ended).as_ref());
+        ctx.fleet
+            .ended(ctx, &picked, attempt, broke_of(&ended).as_ref());
         match ended {
             Ended::Whole(finish) => {
                 live.run.borrow_mut().complete(attempt, finish);
@@ -52,7 +53,15 @@
             }
             Ended::Command(command) => {
                 cancel(ctx, &picked, attempt);
-                give_up(ctx, live, if command == Command::Cancel { "cancelled" } else { "superseded" });
+                give_up(
+                    ctx,
+                    live,
+                    if command == Command::Cancel {
+                        "cancelled"
+                    } else {
+                        "superseded"
+                    },
+                );
                 return;
             }
             Ended::Broke(cause) => {
@@ -172,19 +181,28 @@
 /// Takes one event; returns how the attempt ended, when it did.
 fn take(ctx: &Rc<Ctx>, live: &Rc<Live>, attempt: AttemptId, event: Event) -> Option<Ended> {
     match event {
-        Event::Token { attempt: from, end, text } => {
-            let frame = live.run.borrow_mut().frame(from.unwrap_or(attempt), end, &text);
+        Event::Token {
+            attempt: from,
+            end,
+            text,
+        } => {
+            let frame = live
+                .run
+                .borrow_mut()
+                .frame(from.unwrap_or(attempt), end, &text);
             match frame {
                 Frame::Accepted => {
                     ctx.metrics.tokens.inc();
                     ctx.replicas.dirty(ctx, live);
                     let bytes = live.run.borrow().transcript().bytes();
-                    (bytes > MAX_ANSWER_BYTES).then(|| Ended::Whole(Finish {
-                        outcome: Outcome::Done,
-                        reason: "length".into(),
-                        counts: cumin_request::Counts::default(),
-                        body: None,
-                    }))
+                    (bytes > MAX_ANSWER_BYTES).then(|| {
+                        Ended::Whole(Finish {
+                            outcome: Outcome::Done,
+                            reason: "length".into(),
+                            counts: cumin_request::Counts::default(),
+                            body: None,
+                        })
+                    })
                 }
                 Frame::Stale | Frame::Duplicate => {
                     ctx.metrics.dropped.inc();
@@ -196,12 +214,21 @@
                 }
             }
         }
-        Event::End { attempt: from, reason, counts } => {
+        Event::End {
+            attempt: from,
+            reason,
+            counts,
+        } => {
             if from.is_some_and(|from| from != attempt) {
                 ctx.metrics.dropped.inc();
                 return None;
             }
-            Some(Ended::Whole(Finish { outcome: Outcome::Done, reason, counts, body: None }))
+            Some(Ended::Whole(Finish {
+                outcome: Outcome::Done,
+                reason,
+                counts,
+                body: None,
+            }))
         }
     }
 }
@@ -239,7 +266,9 @@
 
 /// Tells the endpoint that the attempt is not wanted any more; best effort.
 fn cancel(ctx: &Rc<Ctx>, picked: &Picked, attempt: AttemptId) {
-    let call = ctx.endpoints.delete(format!("http://{}/v1/attempts/{attempt}", picked.address));
+    let call = ctx
+        .endpoints
+        .delete(format!("http://{}/v1/attempts/{attempt}", picked.address));
     actix_rt::spawn(async move {
         if let Err(error) = call.timeout(Duration::from_secs(1)).send().await {
             log::debug!("event=cancel_failed attempt={attempt} error={error:?}");
--- a/crates/cumin-node/src/request/engine.rs
+++ b/crates/cumin-node/src/request/engine.rs
@@ -14,9 +14,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Event {
     /// One token.
-    Token { attempt: Option<AttemptId>, end: Position, text: String },
+    Token {
+        attempt: Option<AttemptId>,
+        end: Position,
+        text: String,
+    },
     /// The whole answer was sent.
-    End { attempt: Option<AttemptId>, reason: String, counts: Counts },
+    End {
+        attempt: Option<AttemptId>,
+        reason: String,
+        counts: Counts,
+    },
 }
 
 /// A stream of events from an engine.
@@ -46,9 +54,16 @@
     let from = options.transcript.position();
     if from > Position(0) {
         let text = options.transcript.text().to_owned();
-        body.resume = Some(Resume { text, position: from.0 });
+        body.resume = Some(Resume {
+            text,
+            position: from.0,
+        });
     }
-    let path = if options.chat { "chat/completions" } else { "completions" };
+    let path = if options.chat {
+        "chat/completions"
+    } else {
+        "completions"
+    };
     let answer = options
         .client
         .post(format!("http://{}/v1/{path}", options.address))
@@ -61,9 +76,16 @@
         .map_err(|error| broke(&error))?;
     let status = answer.status().as_u16();
     if status == 200 {
-        return Ok(Events { body: Box::pin(answer), reader: sse::Reader::default(), expected: from });
+        return Ok(Events {
+            body: Box::pin(answer),
+            reader: sse::Reader::default(),
+            expected: from,
+        });
     }
-    Err(refusal(status, answer.headers().contains_key(header::NOT_STARTED)))
+    Err(refusal(
+        status,
+        answer.headers().contains_key(header::NOT_STARTED),
+    ))
 }
 
 /// Says what a status other than 200 means.
@@ -114,7 +136,11 @@
                 completion: usage.completion_tokens,
                 cached: usage.cached_tokens,
             };
-            return Ok(Some(Event::End { attempt, reason: reason.into(), counts }));
+            return Ok(Some(Event::End {
+                attempt,
+                reason: reason.into(),
+                counts,
+            }));
         }
         if chunk.content().is_empty() {
             return Ok(None);
@@ -126,6 +152,10 @@
             None => self.expected.plus(1),
         };
         self.expected = end;
-        Ok(Some(Event::Token { attempt, end, text: chunk.content().into() }))
+        Ok(Some(Event::Token {
+            attempt,
+            end,
+            text: chunk.content().into(),
+        }))
     }
 }
--- a/crates/cumin-node/src/request/live.rs
+++ b/crates/cumin-node/src/request/live.rs
@@ -71,7 +71,11 @@
         let run = self.run.borrow();
         let mut descriptor = run.descriptor().clone();
         descriptor.left = Millis(self.deadline.since(now));
-        Given { descriptor, transcript: run.transcript().clone(), finish: run.finish().cloned() }
+        Given {
+            descriptor,
+            transcript: run.transcript().clone(),
+            finish: run.finish().cloned(),
+        }
     }
 
     /// Returns the node that holds the request beside this one.
@@ -144,7 +148,9 @@
     /// Counts a caller that reads the answer, until the guard is dropped.
     pub(crate) fn reader(self: &Rc<Self>) -> Reader {
         self.readers.set(self.readers.get() + 1);
-        Reader { live: Rc::clone(self) }
+        Reader {
+            live: Rc::clone(self),
+        }
     }
 
     /// Returns true when nobody has read the answer since before `limit`.
--- a/crates/cumin-node/src/request/plain.rs
+++ b/crates/cumin-node/src/request/plain.rs
@@ -63,13 +63,19 @@
         ctx.metrics.attempts.inc();
         ctx.fleet.started(&picked, live, attempt, ctx.clock.now());
         let answer = call(ctx, live, descriptor, &picked, attempt).await;
-        ctx.fleet.ended(ctx, &picked, attempt, answer.as_ref().err());
+        ctx.fleet
+            .ended(ctx, &picked, attempt, answer.as_ref().err());
         match answer {
             Ok(body) => {
                 let counts = Counts::default();
                 let reason = format!("status_{}", body.status);
                 let outcome = Outcome::Done;
-                let finish = Finish { outcome, reason, counts, body: Some(body) };
+                let finish = Finish {
+                    outcome,
+                    reason,
+                    counts,
+                    body: Some(body),
+                };
                 live.run.borrow_mut().complete(attempt, finish);
                 return;
             }
@@ -89,10 +95,19 @@
     picked: &Picked,
     attempt: AttemptId,
 ) -> Result<Body, Broke> {
-    let Call::Plain { method, path, content, binary, repeat } = &descriptor.call else {
+    let Call::Plain {
+        method,
+        path,
+        content,
+        binary,
+        repeat,
+    } = &descriptor.call
+    else {
         return Err(Broke::Rejected { status: 400 });
     };
-    let method: Method = method.parse().map_err(|_| Broke::Rejected { status: 400 })?;
+    let method: Method = method
+        .parse()
+        .map_err(|_| Broke::Rejected { status: 400 })?;
     // A connection that the endpoint closed while it was idle would break a call after its
     // first byte, so a call that may run once gets a new connection.
     let client = match repeat {
@@ -117,7 +132,10 @@
         descriptor.body.clone().into_bytes()
     };
     let exchange = async {
-        let mut answer = call.send_body(body).await.map_err(|error| engine::broke(&error))?;
+        let mut answer = call
+            .send_body(body)
+            .await
+            .map_err(|error| engine::broke(&error))?;
         let status = answer.status().as_u16();
         let unstarted = answer.headers().contains_key(header::NOT_STARTED);
         if unstarted || (matches!(repeat, Repeat::Idempotent) && status >= 500) {
@@ -128,7 +146,11 @@
             .get("content-type")
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let bytes = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(|_| Broke::Broken)?;
+        let bytes = answer
+            .body()
+            .limit(MAX_ANSWER_BYTES)
+            .await
+            .map_err(|_| Broke::Broken)?;
         Ok(body_of(status, content, &bytes))
     };
     let patience = Duration::from_millis(left);
@@ -136,12 +158,24 @@
         Repeat::Once(_) => patience,
         Repeat::Idempotent => patience.min(picked.patience),
     };
-    actix_rt::time::timeout(patience, exchange).await.unwrap_or(Err(Broke::Stalled))
+    actix_rt::time::timeout(patience, exchange)
+        .await
+        .unwrap_or(Err(Broke::Stalled))
 }
 
 fn body_of(status: u16, content: Option<String>, bytes: &[u8]) -> Body {
     match std::str::from_utf8(bytes) {
-        Ok(text) => Body { status, content, text: text.into(), binary: false },
-        Err(_) => Body { status, content, text: hex::encode(bytes), binary: true },
+        Ok(text) => Body {
+            status,
+            content,
+            text: text.into(),
+            binary: false,
+        },
+        Err(_) => Body {
+            status,
+            content,
+            text: hex::encode(bytes),
+            binary: true,
+        },
     }
 }
--- a/crates/cumin-node/src/request/replica.rs
+++ b/crates/cumin-node/src/request/replica.rs
@@ -53,10 +53,18 @@
     fn lane(&self, to: Member) -> Rc<Lane> {
         let mut lanes = self.lanes.borrow_mut();
         let lane = lanes.entry(to.name.clone()).or_insert_with(|| {
-            Rc::new(Lane { to: to.clone(), dirty: RefCell::default(), busy: Cell::default() })
+            Rc::new(Lane {
+                to: to.clone(),
+                dirty: RefCell::default(),
+                busy: Cell::default(),
+            })
         });
         if lane.to.rpc != to.rpc {
-            *lane = Rc::new(Lane { to, dirty: RefCell::default(), busy: Cell::default() });
+            *lane = Rc::new(Lane {
+                to,
+                dirty: RefCell::default(),
+                busy: Cell::default(),
+            });
         }
         Rc::clone(lane)
     }
@@ -72,14 +80,20 @@
             .into_iter()
             .filter_map(|id| ctx.table.get(id))
             .filter(|live| !live.superseded())
-            .filter(|live| live.second().is_some_and(|second| second.name == lane.to.name))
+            .filter(|live| {
+                live.second()
+                    .is_some_and(|second| second.name == lane.to.name)
+            })
             .collect();
         let batch: Vec<_> = lives.iter().map(|live| progress(live)).collect();
         if batch.is_empty() {
             continue;
         }
         ctx.metrics.replica_batches.inc();
-        let sealed: Vec<_> = batch.iter().map(|progress| progress.finish.is_some()).collect();
+        let sealed: Vec<_> = batch
+            .iter()
+            .map(|progress| progress.finish.is_some())
+            .collect();
         let answer = match ctx.client.to(lane.to.rpc) {
             Ok(client) => client.progress(batch).await,
             Err(error) => Err(error),
@@ -91,7 +105,10 @@
                 }
             }
             Err(error) => {
-                log::warn!("event=second_unreachable node={} error={error:?}", lane.to.name);
+                log::warn!(
+                    "event=second_unreachable node={} error={error:?}",
+                    lane.to.name
+                );
                 for live in &lives {
                     replace(ctx, live, &lane.to, "unreachable").await;
                 }
@@ -103,7 +120,10 @@
 fn progress(live: &Live) -> Progress {
     let run = live.run.borrow();
     let from = live.acked();
-    let tokens = run.transcript().since(from).map(|tokens| tokens.map(str::to_owned).collect());
+    let tokens = run
+        .transcript()
+        .since(from)
+        .map(|tokens| tokens.map(str::to_owned).collect());
     Progress {
         id: live.id,
         epoch: run.descriptor().epoch,
@@ -138,7 +158,10 @@
 /// Has the request held by a second node, the first in its order that takes it.
 pub(crate) async fn place_second(ctx: &Rc<Ctx>, live: &Live, avoid: Option<&NodeName>) {
     let order = ctx.members.order(live.id);
-    let tried = order.iter().filter(|member| Some(&member.name) != avoid).take(SECOND_TRIES);
+    let tried = order
+        .iter()
+        .filter(|member| Some(&member.name) != avoid)
+        .take(SECOND_TRIES);
     for member in tried {
         let given = live.given(ctx.clock.now());
         let (held, sealed) = (given.transcript.position(), given.finish.is_some());
@@ -154,19 +177,33 @@
                 return;
             }
             Ok(Err(cumin_request::Refused::Superseded { epoch })) => {
-                ctx.decisions.note("superseded", &live.id, &format!("by={} epoch={epoch}", member.name));
+                ctx.decisions.note(
+                    "superseded",
+                    &live.id,
+                    &format!("by={} epoch={epoch}", member.name),
+                );
                 live.supersede();
                 return;
             }
             Ok(Err(refused)) => {
-                log::warn!("event=second_refused node={} error={refused:?}", member.name);
+                log::warn!(
+                    "event=second_refused node={} error={refused:?}",
+                    member.name
+                );
             }
             Err(error) => {
-                log::warn!("event=second_unreachable node={} error={error:?}", member.name);
+                log::warn!(
+                    "event=second_unreachable node={} error={error:?}",
+                    member.name
+                );
             }
         }
     }
-    ctx.decisions.note("second", &live.id, &format!("node=none candidates={}", order.len()));
+    ctx.decisions.note(
+        "second",
+        &live.id,
+        &format!("node=none candidates={}", order.len()),
+    );
     ctx.metrics.unheld.inc();
     let (position, sealed) = {
         let run = live.run.borrow();
--- a/crates/cumin-node/src/request/takeover.rs
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -124,7 +124,11 @@
 }
 
 /// Stops running a request and returns it for another node, with a raised epoch.
-pub(crate) fn release(ctx: &Rc<Ctx>, id: RequestId, taker: &cumin_types::NodeName) -> Option<Given> {
+pub(crate) fn release(
+    ctx: &Rc<Ctx>,
+    id: RequestId,
+    taker: &cumin_types::NodeName,
+) -> Option<Given> {
     let live = ctx.table.get(id)?;
     let mut given = live.given(ctx.clock.now());
     if given.finish.is_none() {
