End a planned stop when no call is in progress; bound results, not requests

Found by the demo and the load tool: idle keep-alive connections held every stop until the drain time ended (cumin-http now counts calls until their body was sent); results of the last 120 s filled the bound on held requests, after which new requests were refused (the oldest result makes room); 200 callers that connected at once met the listen backlog of 128 (now 4096). A node is ready only once its shares of the quotas follow demand.

--- a/crates/cumin-core/src/demo/checks.rs
+++ b/crates/cumin-core/src/demo/checks.rs
@@ -159,7 +159,7 @@
     let requests: Vec<_> = (0..12)
         .map(|number| chat("crumb-8b", &format!("how is loaf {number} doing"), 60))
         .collect();
-    let clients: Vec<_> = KEYS.iter().map(|key| bed.client(key)).collect();
+    let clients: Vec<_> = KEYS.iter().map(|key| bed.patient(key)).collect();
     let calls = requests
         .iter()
         .enumerate()
--- a/crates/cumin-http/src/lib.rs
+++ b/crates/cumin-http/src/lib.rs
@@ -8,13 +8,16 @@
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{Error, HttpService, KeepAlive, Request, Response};
-use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::net::{TcpListener, TcpSocket, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
@@ -47,6 +50,26 @@
     }
 }
 
+/// Connections that the system keeps until they are accepted. The 128 of the standard library
+/// were too few for 200 callers that connect at once: some timed out after 1 s.
+const BACKLOG: u32 = 4096;
+
+/// Binds an address.
+///
+/// # Errors
+/// When the address can't be bound.
+pub fn bind(address: SocketAddr) -> io::Result<StdListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    // A restarted process takes its old address while connections of the old one linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.into_std()
+}
+
 /// A running server. Dropping it closes everything.
 pub struct Server {
     address: SocketAddr,
@@ -59,6 +82,8 @@
     next: Cell<u64>,
     tasks: RefCell<HashMap<u64, AbortHandle>>,
     closed: Notify,
+    calls: Cell<usize>,
+    ended: Notify,
 }
 
 impl Open {
@@ -80,7 +105,7 @@
     /// # Errors
     /// When the address can't be bound.
     pub fn bind(address: SocketAddr, options: Options, handler: Handler) -> io::Result<Self> {
-        Self::listen(StdListener::bind(address)?, options, handler)
+        Self::listen(bind(address)?, options, handler)
     }
 
     /// Starts to serve a bound listener with `handler`.
@@ -126,6 +151,17 @@
         self.open.closed.notify_waiters();
     }
 
+    /// Completes when no call is in progress; idle connections may stay open.
+    pub async fn quiet(&self) {
+        loop {
+            let ended = self.open.ended.notified();
+            if self.open.calls.get() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Completes when no connection is open.
     pub async fn drained(&self) {
         loop {
@@ -145,15 +181,20 @@
 }
 
 async fn accept(listener: TcpListener, options: Options, handler: Handler, open: Rc<Open>) {
-    let factory = HttpService::build()
-        .client_request_timeout(options.head)
-        .h1_allow_half_closed(options.half_closed)
-        .keep_alive(KeepAlive::Timeout(options.idle))
-        .h1(fn_service(move |request: Request| {
-            let answer = handler(request);
-            async move { Ok::<_, Error>(answer.await) }
-        }))
-        .tcp();
+    let counted = Rc::clone(&open);
+    let factory =
+        HttpService::build()
+            .client_request_timeout(options.head)
+            .h1_allow_half_closed(options.half_closed)
+            .keep_alive(KeepAlive::Timeout(options.idle))
+            .h1(fn_service(move |request: Request| {
+                let call = Call::begin(&counted);
+                let answer = handler(request);
+                async move {
+                    Ok::<_, Error>(answer.await.map_body(|_, body| Body { body, _call: call }))
+                }
+            }))
+            .tcp();
     let Ok(service) = factory.new_service(()).await else {
         log::error!("event=http_service_failed");
         return;
@@ -195,3 +236,45 @@
         }
     });
 }
+
+/// A call from its arrival until its answer's body was sent or dropped.
+struct Call {
+    open: Rc<Open>,
+}
+
+impl Call {
+    fn begin(open: &Rc<Open>) -> Self {
+        open.calls.set(open.calls.get() + 1);
+        Self {
+            open: Rc::clone(open),
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.open.calls.set(self.open.calls.get() - 1);
+        self.open.ended.notify_waiters();
+    }
+}
+
+/// The body of an answer, which ends its call when it is dropped.
+struct Body {
+    body: BoxBody,
+    _call: Call,
+}
+
+impl MessageBody for Body {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        self.get_mut().body.as_pin_mut().poll_next(cx)
+    }
+}
--- a/crates/cumin-node/src/admission.rs
+++ b/crates/cumin-node/src/admission.rs
@@ -20,7 +20,7 @@
 /// Period of exchanging demand and of looking at deadlines of queued requests.
 const PERIOD: Duration = Duration::from_millis(100);
 /// Periods between two reports of demand.
-const REPORT_EVERY: u32 = 10;
+const REPORT_EVERY: u32 = 4;
 /// Time that a report of demand is valid, milliseconds.
 const REPORT_TTL_MS: u64 = 10_000;
 /// Requests that a node may have at endpoints, as a multiple of its equal share of their slots;
@@ -49,6 +49,8 @@
 pub(crate) struct Gate {
     admission: RefCell<Admission>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Result<Ticket, Dropped>>>>,
+    // Whether every other node has heard this one's demand; until then its shares are the floor.
+    settled: Cell<bool>,
     // Requests that wait for a quota to refill.
     smoothed: Cell<usize>,
 }
@@ -87,6 +89,7 @@
         Self {
             admission: RefCell::new(admission),
             waiting: RefCell::default(),
+            settled: Cell::default(),
             smoothed: Cell::default(),
         }
     }
@@ -159,6 +162,11 @@
         self.pump(ctx);
     }
 
+    /// Returns true once this node's shares of the quotas follow demand.
+    pub(crate) fn settled(&self) -> bool {
+        self.settled.get()
+    }
+
     /// Returns the requests that wait at this node.
     pub(crate) fn queued(&self) -> usize {
         self.waiting.borrow().len()
@@ -229,14 +237,23 @@
             .into_iter()
             .filter_map(|item| {
                 let name = item.key.strip_prefix("demand/")?;
-                Some((
-                    NodeName::from(name),
-                    serde_json::from_value(item.value).ok()?,
-                ))
+                let demand = unpack(item.version, item.value)?;
+                Some((NodeName::from(name), demand))
             })
             .collect();
         let mut admission = self.admission.borrow_mut();
         if ctx.members.trusted(now) {
+            let heard = |name: &NodeName| {
+                let report = reports.iter().find(|(of, _)| of == name);
+                report.is_some_and(|(_, demand)| demand.heard.contains_key(&ctx.settings.name))
+            };
+            if live
+                .iter()
+                .filter(|name| **name != ctx.settings.name)
+                .all(heard)
+            {
+                self.settled.set(true);
+            }
             admission.rebalance(&reports, &live, now);
         }
         for (service, slots, rate) in ctx.fleet.capacities(&ctx.document()) {
--- a/crates/cumin-node/src/caller.rs
+++ b/crates/cumin-node/src/caller.rs
@@ -29,6 +29,8 @@
 pub(crate) fn serve(ctx: &Rc<Ctx>, listener: TcpListener) -> io::Result<Server> {
     let options = Options {
         connections: ctx.settings.limits.connections,
+        // A caller that closes its connection no longer reads its answer.
+        half_closed: false,
         ..Options::default()
     };
     let ctx = Rc::clone(ctx);
@@ -49,7 +51,7 @@
     let method = request.method().clone();
     let open = match (&method, path.as_str()) {
         (&Method::GET, "/healthz") => Some(reply::text(StatusCode::OK, "ok")),
-        (&Method::GET, "/readyz") if ctx.ready.get() => Some(reply::text(StatusCode::OK, "ready")),
+        (&Method::GET, "/readyz") if ctx.is_ready() => Some(reply::text(StatusCode::OK, "ready")),
         (&Method::GET, "/readyz") => {
             Some(reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready"))
         }
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,6 +27,9 @@
 use crate::request::{self, Replicas, Table};
 use crate::task::Tasks;
 
+/// Time for the last bytes of an answer to leave, after its body was written.
+const LAST_BYTES: Duration = Duration::from_millis(50);
+
 /// Timing that a deployment has no reason to change; tests do.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -111,6 +114,11 @@
 }
 
 impl Ctx {
+    /// Returns true when callers should use this node.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.get() && self.gate.settled() && self.members.trusted(self.clock.now())
+    }
+
     pub(crate) fn document(&self) -> Rc<Document> {
         Rc::clone(&self.document.borrow())
     }
@@ -137,7 +145,7 @@
         let bind = |address| move |error| StartError::Bind { address, error };
         let (peers, inbox) = peer::serve(settings.peer_listen, secret.expose())
             .map_err(bind(settings.peer_listen))?;
-        let listener = TcpListener::bind(settings.listen).map_err(bind(settings.listen))?;
+        let listener = cumin_http::bind(settings.listen).map_err(bind(settings.listen))?;
         let bound = listener.local_addr().map_err(bind(settings.listen))?;
         let me = Member {
             name: settings.name.clone(),
@@ -224,6 +232,12 @@
             .collect()
     }
 
+    /// Returns true when callers should use this node, as `/readyz` tells.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ctx.is_ready()
+    }
+
     /// Returns the number of requests that this node runs.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -256,9 +270,10 @@
         let idle = async {
             ctx.table.idle().await;
             ctx.records.idle().await;
-            // Answers may still be on their way to callers.
             self.callers.refuse();
-            self.callers.drained().await;
+            // An idle connection that a caller keeps open is no request in flight.
+            self.callers.quiet().await;
+            actix_rt::time::sleep(LAST_BYTES).await;
         };
         if actix_rt::time::timeout(drain, idle).await.is_err() {
             log::warn!(
--- a/crates/cumin-request/src/holder.rs
+++ b/crates/cumin-request/src/holder.rs
@@ -158,13 +158,13 @@
                 return Ok(());
             }
             Some(_) => {}
-            None if self.held.len() >= self.options.requests => {
-                return Err(Refused::Full {
-                    limit: self.options.requests,
-                });
-            }
             None => {}
         }
+        if !self.held.contains_key(&id) && !self.make_room() {
+            return Err(Refused::Full {
+                limit: self.options.requests,
+            });
+        }
         let deadline = now.plus(given.descriptor.left.0);
         let done = given.finish.is_some();
         let held = Held {
@@ -263,6 +263,18 @@
             .retain(|_, held| held.finish.is_some() || held.gone > now);
     }
 
+    /// Drops the oldest result when the bound is reached; false when all that is held still runs.
+    fn make_room(&mut self) -> bool {
+        if self.held.len() < self.options.requests {
+            return true;
+        }
+        let Some((&(_, oldest), _)) = self.finished.first_key_value() else {
+            return false;
+        };
+        self.forget(oldest);
+        true
+    }
+
     fn retire(&mut self, id: RequestId, now: Millis) {
         let Some(held) = self.held.get_mut(&id) else {
             return;
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -218,7 +218,9 @@
         let ready = async {
             loop {
                 let known = self.nodes.borrow().iter().flatten().all(|node| {
-                    node.entries().len() == all && node.endpoints() == self.endpoints()
+                    node.is_ready()
+                        && node.entries().len() == all
+                        && node.endpoints() == self.endpoints()
                 });
                 if known {
                     return;
