--- a/crates/cumin-member/tests/all/items.rs
+++ b/crates/cumin-member/tests/all/items.rs
@@ -124,3 +124,38 @@
         "item \"twice\" version 1 is not above the held version 2"
     );
 }
+
+/// A copy that arrives after the own one expired must be ignored, and a newer version taken.
+#[test]
+fn late_copy_of_an_expired_item_is_ignored() {
+    let mut net = Net::settled(2, 10);
+    net.publish(
+        1,
+        Item {
+            ttl: 500,
+            ..item("eject/loaf", 4)
+        },
+    );
+    net.run(3_000);
+    let from = net.nodes[1]
+        .machine
+        .record(&crate::net::name(1))
+        .expect("itself")
+        .clone();
+    let late = |version| cumin_member::Message {
+        from: from.clone(),
+        digest: 0,
+        records: Vec::new(),
+        items: vec![Item {
+            ttl: 300,
+            ..item("eject/loaf", version)
+        }],
+        repair: None,
+    };
+    let now = net.time(0);
+    let machine = &mut net.nodes[0].machine;
+    machine.probed(late(4), now);
+    assert_eq!(machine.item("eject/loaf"), None);
+    machine.probed(late(5), now);
+    assert!(machine.item("eject/loaf").is_some());
+}
--- a/crates/cumin-member/tests/all/random.rs
+++ b/crates/cumin-member/tests/all/random.rs
@@ -116,6 +116,8 @@
     fn init_test(wanted: &Wanted) -> Self {
         let mut net = Net::settled(NODES, wanted.seed);
         net.sized = true;
+        // Without the list, nodes that start while all three seeds are down cannot find each other.
+        net.listed = true;
         Self(net)
     }
 
--- a/crates/cumin-member/tests/all/seeds.rs
+++ b/crates/cumin-member/tests/all/seeds.rs
@@ -66,3 +66,15 @@
         (Some(Status::Dead), Some(Status::Alive))
     );
 }
+
+/// Nodes that start while all seeds are down serve alone, and must meet by the platform's list.
+#[test]
+fn strangers_meet_by_the_platforms_list() {
+    let mut net = Net::settled(5, 3);
+    (0..5).for_each(|index| net.crash(index));
+    net.restart(3, 0);
+    net.run(1_000);
+    net.listed = true;
+    net.restart(4, 0);
+    assert!(net.until(5_000, Net::agree).is_some(), "{}", net.state());
+}
