Hand requests over when the drain time ends; clear the lint

A stream longer than the drain time was cut off by a planned stop. The node now gives it to its second node with a raised epoch and tells the caller where to go on; long_streams_handed_over guards that.

Engines are reclaimed and crashed while the demo waits for its 3 s check.

--- a/crates/cumin-core/src/demo/checks.rs
+++ b/crates/cumin-core/src/demo/checks.rs
@@ -47,17 +47,23 @@
         "a long review is read and answered whole",
         review(bed, text).await,
     ));
-    progress("an engine is reclaimed in the middle of a stream; plain calls meanwhile");
-    let (reclaimed, plain) = join(faults::reclaim(bed), plain_calls(bed)).await;
-    let (moved, left) = reclaimed;
-    found.push(promise("a stream survives its engine's reclaim", moved));
-    found.push(promise("a leaving engine gets no new work after 3 s", left));
-    found.extend(plain);
-    progress("an engine crashes in the middle of a stream");
+    progress(
+        "engines are reclaimed and one crashes in the middle of streams; plain calls meanwhile",
+    );
+    let (engines, plain) = join(faults::engines(bed), plain_calls(bed)).await;
+    found.push(promise(
+        "a stream survives its engine's reclaim",
+        engines.moved,
+    ));
     found.push(promise(
         "a stream survives its engine's crash",
-        faults::engine_crash(bed).await,
+        engines.crashed,
     ));
+    found.push(promise(
+        "a leaving engine gets no new work after 3 s",
+        engines.left,
+    ));
+    found.extend(plain);
     progress("a node is stopped in the middle of a stream");
     let (stream, listing) = faults::node_stop(bed).await;
     found.push(promise(
--- a/crates/cumin-core/src/demo/faults.rs
+++ b/crates/cumin-core/src/demo/faults.rs
@@ -52,24 +52,36 @@
     "the stream ended before the fault".into()
 }
 
-/// Reclaims an idle engine, and the engine of a stream; returns what the stream saw, and what
-/// new calls did with the idle engine.
-pub(super) async fn reclaim(bed: &Testbed) -> (Seen, Seen) {
-    let idle = bed
-        .engines
-        .iter()
-        .find(|(_, engine)| engine.attempts().is_empty())
-        .map(|(id, _)| id.clone());
-    let Some(idle) = idle.filter(|id| bed.cloud.reclaim(id, LONG_NOTICE)) else {
-        return (
-            Err("no engine was idle".into()),
-            Err("no engine was idle".into()),
-        );
-    };
+/// What was seen while engines went away.
+pub(super) struct Engines {
+    /// By a stream whose engine was reclaimed.
+    pub(super) moved: Seen,
+    /// By a stream whose engine crashed.
+    pub(super) crashed: Seen,
+    /// Of new work at an engine after its notice.
+    pub(super) left: Seen,
+}
+
+/// Reclaims an idle engine, and the engine of a stream, and crashes that of another stream.
+pub(super) async fn engines(bed: &Testbed) -> Engines {
+    let mut engines = bed.engines.iter();
+    let idle = engines.find(|(_, engine)| engine.attempts().is_empty());
+    let idle = idle.map(|(id, _)| id.clone()).unwrap_or_default();
     let noticed = Instant::now();
-    let seen = moved(bed, &idle).await;
+    let leaving = bed.cloud.reclaim(&idle, LONG_NOTICE);
+    let moved = moved(bed, &idle).await;
+    let crashed = engine_crash(bed).await;
     sleep(LEAVING.saturating_sub(noticed.elapsed())).await;
-    (seen, left(bed, &idle).await)
+    let left = if leaving {
+        left(bed, &idle).await
+    } else {
+        Err("no engine was idle".into())
+    };
+    Engines {
+        moved,
+        crashed,
+        left,
+    }
 }
 
 async fn moved(bed: &Testbed, idle: &str) -> Seen {
@@ -114,7 +126,7 @@
     if given == 0 { Ok(seen) } else { Err(seen) }
 }
 
-pub(super) async fn engine_crash(bed: &Testbed) -> Seen {
+async fn engine_crash(bed: &Testbed) -> Seen {
     let request = chat("crumb-8b", "why is the crumb so close", TOKENS);
     let mismatches = bed.engine_stats().mismatches;
     let (answer, hit) = during(bed, &request, async || {
--- a/crates/cumin-node/src/admission.rs
+++ b/crates/cumin-node/src/admission.rs
@@ -51,6 +51,8 @@
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Result<Ticket, Dropped>>>>,
     // Whether every other node has heard this one's demand; until then its shares are the floor.
     settled: Cell<bool>,
+    // Whether that was so at any time.
+    opened: Cell<bool>,
     // Requests that wait for a quota to refill.
     smoothed: Cell<usize>,
 }
@@ -90,6 +92,7 @@
             admission: RefCell::new(admission),
             waiting: RefCell::default(),
             settled: Cell::default(),
+            opened: Cell::default(),
             smoothed: Cell::default(),
         }
     }
@@ -162,11 +165,16 @@
         self.pump(ctx);
     }
 
-    /// Returns true once this node's shares of the quotas follow demand.
+    /// Returns true while this node's shares of the quotas follow demand.
     pub(crate) fn settled(&self) -> bool {
         self.settled.get()
     }
 
+    /// Returns true from when that was so first; a node that joins later does not end it.
+    pub(crate) fn opened(&self) -> bool {
+        self.opened.get()
+    }
+
     /// Returns the requests that wait at this node.
     pub(crate) fn queued(&self) -> usize {
         self.waiting.borrow().len()
@@ -247,13 +255,9 @@
                 let report = reports.iter().find(|(of, _)| of == name);
                 report.is_some_and(|(_, demand)| demand.heard.contains_key(&ctx.settings.name))
             };
-            if live
-                .iter()
-                .filter(|name| **name != ctx.settings.name)
-                .all(heard)
-            {
-                self.settled.set(true);
-            }
+            let mut others = live.iter().filter(|name| **name != ctx.settings.name);
+            self.settled.set(others.all(heard));
+            self.opened.set(self.opened.get() || self.settled.get());
             admission.rebalance(&reports, &live, now);
         }
         for (service, slots, rate) in ctx.fleet.capacities(&ctx.document()) {
--- a/crates/cumin-node/src/caller/entries.rs
+++ b/crates/cumin-node/src/caller/entries.rs
@@ -16,7 +16,8 @@
 struct Entries {
     revision: u64,
     ttl_ms: u64,
-    entries: Vec<EntryAddress>,
+    #[serde(rename = "entries")]
+    addresses: Vec<EntryAddress>,
 }
 
 #[derive(Serialize)]
@@ -40,7 +41,7 @@
     let list = Entries {
         revision: 0,
         ttl_ms: LIST_TTL_MS,
-        entries: entries.collect(),
+        addresses: entries.collect(),
     };
     reply::json(StatusCode::OK, &list)
 }
--- a/crates/cumin-node/src/fleet.rs
+++ b/crates/cumin-node/src/fleet.rs
@@ -109,7 +109,7 @@
         prefer: Option<&EndpointName>,
         now: Millis,
     ) -> Result<Picked, String> {
-        let mut query = self.query(ctx, live);
+        let mut query = Self::query(ctx, live);
         let avoided = ctx.health.avoided(&query.service, now);
         let imported = prefer.filter(|name| !avoided.contains(name) && !self.is_leaving(name));
         if let Some(picked) = imported.and_then(|name| self.at(ctx, name, query.prompt)) {
@@ -151,7 +151,7 @@
 
     /// Returns where a suspect could run, with the requests of all nodes there.
     pub(crate) fn for_suspect(&self, ctx: &Ctx, live: &Live) -> Vec<Candidate> {
-        let query = self.query(ctx, live);
+        let query = Self::query(ctx, live);
         let Some(model) = &query.model else {
             return Vec::new();
         };
@@ -210,7 +210,7 @@
         self.changed.notify_waiters();
     }
 
-    fn query(&self, ctx: &Ctx, live: &Live) -> Query {
+    fn query(ctx: &Ctx, live: &Live) -> Query {
         let run = live.run.borrow();
         let descriptor = run.descriptor();
         let model = match &descriptor.call {
--- a/crates/cumin-node/src/fleet/reclaim.rs
+++ b/crates/cumin-node/src/fleet/reclaim.rs
@@ -48,24 +48,21 @@
         };
         ctx.decisions.note("move", &live.id, &step);
         let (ctx, live, endpoint) = (Rc::clone(&ctx), Rc::clone(live), endpoint.clone());
-        match (&step.how, from) {
+        if let (How::Export, Some(from)) = (&step.how, from) {
             // One transfer after the other, in the order of the plan.
-            (How::Export, Some(from)) => {
-                let to = transfer(&ctx, from, &step).await;
-                shift(&ctx, &live, endpoint, to);
-            }
-            _ => {
-                let wait = if step.how == How::Stay {
-                    latest
-                } else {
-                    whole(step.starts).min(latest)
-                };
-                let tasks = ctx.tasks.clone();
-                tasks.spawn(async move {
-                    actix_rt::time::sleep(Duration::from_millis(wait)).await;
-                    shift(&ctx, &live, endpoint, None);
-                });
-            }
+            let to = transfer(&ctx, from, &step).await;
+            shift(&ctx, &live, endpoint, to);
+        } else {
+            let wait = if step.how == How::Stay {
+                latest
+            } else {
+                whole(step.starts).min(latest)
+            };
+            let tasks = ctx.tasks.clone();
+            tasks.spawn(async move {
+                actix_rt::time::sleep(Duration::from_millis(wait)).await;
+                shift(&ctx, &live, endpoint, None);
+            });
         }
     }
 }
--- a/crates/cumin-node/src/member.rs
+++ b/crates/cumin-node/src/member.rs
@@ -183,12 +183,11 @@
             let now = ctx.clock.now();
             let effects = {
                 let mut machine = ctx.members.machine.borrow_mut();
-                match answer {
-                    Some(message) => machine.answered(number, &message, now),
-                    None => {
-                        machine.failed(number, now);
-                        Vec::new()
-                    }
+                if let Some(message) = answer {
+                    machine.answered(number, &message, now)
+                } else {
+                    machine.failed(number, now);
+                    Vec::new()
                 }
             };
             perform(&ctx, effects);
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -30,6 +30,9 @@
 /// Time for the last bytes of an answer to leave, after its body was written.
 const LAST_BYTES: Duration = Duration::from_millis(50);
 
+/// Time for callers to read where their requests go on.
+const HAND_OVER_WAIT: Duration = Duration::from_secs(1);
+
 /// Timing that a deployment has no reason to change; tests do.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -116,7 +119,7 @@
 impl Ctx {
     /// Returns true when callers should use this node.
     pub(crate) fn is_ready(&self) -> bool {
-        self.ready.get() && self.gate.settled() && self.members.trusted(self.clock.now())
+        self.ready.get() && self.gate.opened() && self.members.trusted(self.clock.now())
     }
 
     pub(crate) fn document(&self) -> Rc<Document> {
@@ -238,6 +241,12 @@
         self.ctx.is_ready()
     }
 
+    /// Returns true while every other node has heard this one's demand.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.ctx.gate.settled()
+    }
+
     /// Returns the number of requests that this node runs.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -281,6 +290,12 @@
                 ctx.settings.name,
                 ctx.table.len()
             );
+            request::hand_over(ctx).await;
+            // Callers are told where to go on before their connections close.
+            let quiet = actix_rt::time::timeout(HAND_OVER_WAIT, self.callers.quiet());
+            if quiet.await.is_err() {
+                log::warn!("event=calls_cut node={}", ctx.settings.name);
+            }
         }
         log::info!("event=stopped node={}", ctx.settings.name);
     }
--- a/crates/cumin-node/src/request.rs
+++ b/crates/cumin-node/src/request.rs
@@ -10,4 +10,4 @@
 pub(crate) use completion::QUARANTINED;
 pub(crate) use live::{Command, Live, Reader, Table};
 pub(crate) use replica::{Replicas, place_second};
-pub(crate) use takeover::{find, release, start, take_over};
+pub(crate) use takeover::{find, hand_over, release, start, take_over};
--- a/crates/cumin-node/src/request/takeover.rs
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -1,5 +1,7 @@
 //! Starts requests, finds them on other nodes, and takes them over.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -143,3 +145,32 @@
     }
     Some(given)
 }
+
+/// Hands the running requests over to their second nodes; their callers are told where to go on.
+pub(crate) async fn hand_over(ctx: &Rc<Ctx>) {
+    let mut given: HashMap<SocketAddr, Vec<Given>> = HashMap::new();
+    for live in ctx.table.all() {
+        // Only its author may end a claim, so a call that may run once stays here.
+        let (once, ended) = {
+            let run = live.run.borrow();
+            (run.once(), run.finish().is_some())
+        };
+        let Some(second) = live.second().filter(|_| !once && !ended) else {
+            log::warn!("event=not_handed_over request={}", live.id);
+            continue;
+        };
+        if let Some(request) = release(ctx, live.id, &second.name) {
+            given.entry(second.rpc).or_default().push(request);
+        }
+    }
+    let calls = given.into_iter().map(|(address, requests)| async move {
+        let Ok(client) = ctx.slow_client.to(address) else {
+            return;
+        };
+        if let Err(error) = client.give(requests).await {
+            // The second node holds the requests all the same and goes on when a caller comes.
+            log::warn!("event=hand_over_failed node={address} error={error:?}");
+        }
+    });
+    join_all(calls).await;
+}
--- a/crates/cumin-request/src/holder.rs
+++ b/crates/cumin-request/src/holder.rs
@@ -157,8 +157,7 @@
             {
                 return Ok(());
             }
-            Some(_) => {}
-            None => {}
+            _ => {}
         }
         if !self.held.contains_key(&id) && !self.make_room() {
             return Err(Refused::Full {
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -219,6 +219,7 @@
             loop {
                 let known = self.nodes.borrow().iter().flatten().all(|node| {
                     node.is_ready()
+                        && node.is_settled()
                         && node.entries().len() == all
                         && node.endpoints() == self.endpoints()
                 });
--- a/crates/cumin-testbed/tests/all/overload.rs
+++ b/crates/cumin-testbed/tests/all/overload.rs
@@ -56,7 +56,7 @@
             faults.cut = Some(engine::Cut {
                 after: 0,
                 once: false,
-            })
+            });
         });
     }
     let client = bed.client(KEY);
@@ -64,10 +64,8 @@
         .map(|number| chat(&format!("check {number}"), 4))
         .collect();
     let answers = futures_util::future::join_all(requests.iter().map(|one| client.chat(one))).await;
-    for answer in &answers {
-        if let Ok(answer) = answer {
-            assert_ne!(answer.outcome, Some(Outcome::Done));
-        }
+    for answer in answers.iter().flatten() {
+        assert_ne!(answer.outcome, Some(Outcome::Done));
     }
     let attempts = bed.engine_stats().attempts;
     // 1.2 attempts a request, and the budget that each of 4 nodes starts with.
@@ -109,10 +107,8 @@
             answer.outcome
         );
     }
-    for end in &ends {
-        if let Ok(answer) = end {
-            assert_ne!(answer.outcome, Some(Outcome::Done));
-        }
+    for answer in ends.iter().flatten() {
+        assert_ne!(answer.outcome, Some(Outcome::Done));
     }
     let last = ends.last().expect("20 sends");
     assert!(
--- a/crates/cumin-testbed/tests/all/streams.rs
+++ b/crates/cumin-testbed/tests/all/streams.rs
@@ -2,7 +2,7 @@
 
 use cumin_client::Streamed;
 use cumin_testbed::{Options, Testbed};
-use cumin_types::Outcome;
+use cumin_types::{Millis, Outcome};
 
 use crate::support::{KEY, chat, expected, testbed};
 
@@ -110,3 +110,25 @@
     assert_eq!(answer.tokens, expected(&request));
     assert_eq!((answer.repeated, answer.skipped, answer.resumes), (0, 0, 0));
 }
+
+/// Guards against a planned stop that cuts off streams longer than the drain time.
+#[actix_rt::test]
+async fn long_streams_handed_over() {
+    let options = Options {
+        drain: Millis(300),
+        ..Options::default()
+    };
+    let bed = testbed(options).await;
+    let client = bed.client(KEY);
+    let request = chat("a very long review", 1000);
+    let stop = async {
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        let owner = bed.owner_of_some_request().expect("a node runs the stream");
+        bed.stop_node(owner).await;
+    };
+    let (answer, ()) = futures_util::future::join(client.chat(&request), stop).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.tokens, expected(&request));
+    assert_eq!((answer.repeated, answer.skipped, answer.resumes), (0, 0, 1));
+    assert_eq!(bed.engine_stats().mismatches, 0);
+}
