Read the environment document from the log's config stream

Nodes ran the document of their command line, so a change needed a restart of each node, and /v1/entries told revision 0.

Each node folds the config stream at start, on a higher membership item and every 2 s to 4 s, and takes its quotas without a restart. While the log can't be read it takes a higher revision from its peers. Operators' calls apply a document, list its history, and report status and reasons; they need the secret of the nodes.

--- a/crates/cumin-node/src/caller.rs
+++ b/crates/cumin-node/src/caller.rs
@@ -83,6 +83,14 @@
 fn authenticate(ctx: &Ctx, request: &Request) -> Result<Organisation, Problem> {
     let value = text(request, "authorization").and_then(|value| value.strip_prefix("Bearer "));
     let key = value.ok_or_else(|| Problem::unauthorised("send `authorization: Bearer KEY`"))?;
+    if !ctx.config.present() {
+        return Err(Problem::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_document",
+            "this node has no document yet",
+        )
+        .retry(Millis(1_000)));
+    }
     let document = ctx.document();
     let org = document.organisation_for_key(key);
     org.cloned()
--- a/crates/cumin-node/src/caller/entries.rs
+++ b/crates/cumin-node/src/caller/entries.rs
@@ -38,7 +38,7 @@
             weight: 1,
         });
     let list = Entries {
-        revision: 0,
+        revision: ctx.config.revision().0.0,
         ttl_ms: LIST_TTL_MS,
         entries: entries.collect(),
     };
--- a/crates/cumin-node/src/lib.rs
+++ b/crates/cumin-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod caller;
 mod clock;
+mod config;
 mod explain;
 mod fleet;
 mod health;
@@ -16,10 +17,14 @@
 mod member;
 mod metrics;
 mod node;
+mod op;
 mod peer;
 mod record;
 mod request;
 mod task;
 
+pub use cumin_state::config::Way;
+pub use config::Held;
 pub use explain::Decision;
 pub use node::{Node, Options, StartError};
+pub use op::{Applied, Apply, Explained, Operator, OperatorError, Past, Report, Seen, Told};
--- a/crates/cumin-node/src/member.rs
+++ b/crates/cumin-node/src/member.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cumin_member::{Effect, Event, Item, Membership, Message, Options, Seed};
+use cumin_member::{Effect, Event, Item, Membership, Message, Options, Record, Seed};
 use cumin_state::batch::Author;
 use cumin_types::{Incarnation, Millis, NodeName, RequestId, rank};
 
@@ -120,6 +120,11 @@
         )
     }
 
+    /// Returns what is believed of every node, this one first.
+    pub(crate) fn records(&self) -> Vec<Record> {
+        self.machine.borrow().records().cloned().collect()
+    }
+
     /// Tells all nodes a value; the last version of a key wins.
     pub(crate) fn publish(&self, item: Item, now: Millis) {
         if let Err(error) = self.machine.borrow_mut().publish(item, now) {
@@ -232,6 +237,7 @@
                     ctx.health.merge(&item, ctx.clock.now());
                 }
             }
+            Event::Item { key, .. } if key.starts_with("config/") => ctx.config.hint(),
             _ => {}
         }
     }
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -16,12 +16,14 @@
 use crate::admission::Gate;
 use crate::caller;
 use crate::clock::{Clock, wall};
+use crate::config::{self, Configuration};
 use crate::explain::Decisions;
 use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::http;
 use crate::member::{Member, Members};
 use crate::metrics::Metrics;
+use crate::op;
 use crate::peer::{self, Call, Client, Found, Inbox, PeerClient};
 use crate::record::{Recorders, Records};
 use crate::request::{self, Replicas, Table};
@@ -90,6 +92,7 @@
     pub(crate) options: Options,
     pub(crate) clock: Clock,
     pub(crate) document: RefCell<Rc<Document>>,
+    pub(crate) config: Configuration,
     pub(crate) members: Members,
     pub(crate) client: Client,
     /// For calls that wait on the log.
@@ -116,7 +119,10 @@
 impl Ctx {
     /// Returns true when callers should use this node.
     pub(crate) fn is_ready(&self) -> bool {
-        self.ready.get() && self.gate.settled() && self.members.trusted(self.clock.now())
+        self.ready.get()
+            && self.config.is_ready()
+            && self.gate.settled()
+            && self.members.trusted(self.clock.now())
     }
 
     pub(crate) fn document(&self) -> Rc<Document> {
@@ -134,13 +140,17 @@
 impl Node {
     /// Binds the node's addresses and starts its tasks.
     ///
+    /// `document` is used as revision 0 until the log has a revision; without either the node
+    /// is not ready.
+    ///
     /// # Errors
     /// When an address can't be bound or no secret is given.
     pub fn start(
         settings: Settings,
-        document: Document,
+        document: impl Into<Option<Document>>,
         options: Options,
     ) -> Result<Self, StartError> {
+        let document = document.into();
         let secret = settings.secret.clone().ok_or(StartError::Secret)?;
         let bind = |address| move |error| StartError::Bind { address, error };
         let (peers, inbox) = peer::serve(settings.peer_listen, secret.expose())
@@ -162,6 +172,8 @@
             requests: settings.limits.requests_held,
             ..HolderOptions::default()
         };
+        let config = Configuration::new(author.clone(), document.is_some());
+        let document = document.unwrap_or_else(|| config::empty(&settings.environment));
         let gate = Gate::new(settings.name.clone(), wall(), &document);
         let ctx = Rc::new(Ctx {
             client: Client::new(secret.expose(), options.peer_timeout),
@@ -171,6 +183,7 @@
             tasks: Tasks::default(),
             clock: Clock::start(),
             document: RefCell::new(Rc::new(document)),
+            config,
             members,
             table: Table::default(),
             holder: RefCell::new(Holder::new(holder)),
@@ -191,6 +204,8 @@
         ctx.tasks.spawn(answer_peers(Rc::clone(&ctx), inbox));
         ctx.tasks.spawn(Fleet::watch(Rc::clone(&ctx)));
         ctx.tasks.spawn(Members::drive(Rc::clone(&ctx)));
+        ctx.tasks.spawn(Configuration::drive(Rc::clone(&ctx)));
+        ctx.tasks.spawn(Configuration::write(Rc::clone(&ctx)));
         ctx.tasks.spawn(Recorders::drive(Rc::clone(&ctx)));
         ctx.tasks.spawn(Gate::drive(Rc::clone(&ctx)));
         ctx.tasks.spawn(Health::drive(Rc::clone(&ctx)));
@@ -344,6 +359,7 @@
                     let _ = reply.send(ctx.recorders.submit(&ctx, *submission).await);
                 });
             }
+            Call::Op(op) => op::answer(&ctx, op),
             Call::Give(given, reply) => {
                 let ctx = Rc::clone(&ctx);
                 let tasks = ctx.tasks.clone();
--- a/crates/cumin-node/src/peer/rpc.rs
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -1,5 +1,7 @@
 //! The methods that nodes offer each other.
 
+use crate::config::Held;
+use crate::op::{Applied, Apply, Explained, Past, Report};
 use crate::record::Submission;
 use std::net::SocketAddr;
 
@@ -64,4 +66,28 @@
     /// Hands requests over that the sender no longer runs.
     #[method(name = "request_give")]
     async fn give(&self, given: Vec<Given>) -> RpcResult<Vec<bool>>;
+
+    /// Asks for the document that the node runs; none below revision 1.
+    #[method(name = "config_fetch")]
+    async fn config_fetch(&self) -> RpcResult<Option<Held>>;
+
+    /// Changes the document.
+    #[method(name = "op_apply")]
+    async fn apply(&self, apply: Apply) -> RpcResult<Applied>;
+
+    /// Asks for the accepted revisions.
+    #[method(name = "op_history")]
+    async fn history(&self) -> RpcResult<Vec<Past>>;
+
+    /// Asks what the node sees.
+    #[method(name = "op_status")]
+    async fn status(&self) -> RpcResult<Report>;
+
+    /// Asks for the decisions about a subject, those of the other nodes too when `all` is set.
+    #[method(name = "op_explain")]
+    async fn explain(&self, subject: String, all: bool) -> RpcResult<Explained>;
+
+    /// Has the node drain and stop, as a reclaim notice does.
+    #[method(name = "op_drain")]
+    async fn drain(&self) -> RpcResult<NodeName>;
 }
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -19,6 +19,8 @@
 
 use super::rpc::{Found, PeerServer};
 use crate::caller::read_body;
+use crate::config::Held;
+use crate::op::{Applied, Apply, Explained, Op, Past, Report};
 use crate::record::Submission;
 use cumin_state::recorder::Verdict;
 
@@ -39,6 +41,7 @@
     Take(RequestId, NodeName, Reply<Option<Given>>),
     Submit(Box<Submission>, Reply<Verdict>),
     Give(Vec<Given>, Reply<Vec<bool>>),
+    Op(Op),
 }
 
 /// Where calls arrive.
@@ -98,6 +101,32 @@
     async fn give(&self, given: Vec<Given>) -> RpcResult<Vec<bool>> {
         self.ask(|reply| Call::Give(given, reply)).await
     }
+
+    async fn config_fetch(&self) -> RpcResult<Option<Held>> {
+        self.ask(|reply| Call::Op(Op::Fetch(reply))).await
+    }
+
+    async fn apply(&self, apply: Apply) -> RpcResult<Applied> {
+        self.ask(|reply| Call::Op(Op::Apply(Box::new(apply), reply)))
+            .await
+    }
+
+    async fn history(&self) -> RpcResult<Vec<Past>> {
+        self.ask(|reply| Call::Op(Op::History(reply))).await
+    }
+
+    async fn status(&self) -> RpcResult<Report> {
+        self.ask(|reply| Call::Op(Op::Status(reply))).await
+    }
+
+    async fn explain(&self, subject: String, all: bool) -> RpcResult<Explained> {
+        self.ask(|reply| Call::Op(Op::Explain(subject, all, reply)))
+            .await
+    }
+
+    async fn drain(&self) -> RpcResult<NodeName> {
+        self.ask(|reply| Call::Op(Op::Drain(reply))).await
+    }
 }
 
 /// Binds `address` for calls from other nodes.
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -13,7 +13,7 @@
 
 use cumin_client::Client;
 use cumin_config::{Document, Secret, ServiceKind, ServiceSpec, Settings};
-use cumin_node::{Node, StartError};
+use cumin_node::{Node, Operator, StartError};
 use cumin_standin::cloud::{self, Cloud};
 use cumin_standin::engine::{self, Engine};
 use cumin_standin::log::{self as log_service, Log};
@@ -169,6 +169,14 @@
     /// # Errors
     /// When an address can't be bound.
     pub fn add_node(&self) -> Result<usize, Error> {
+        self.add_node_with(Some(self.document.clone()))
+    }
+
+    /// Starts one more node with another document, or with none; returns its number.
+    ///
+    /// # Errors
+    /// When an address can't be bound.
+    pub fn add_node_with(&self, document: Option<Document>) -> Result<usize, Error> {
         let number = self.nodes.borrow().len();
         let places: Vec<_> = self.document.places.iter().collect();
         let (place, spec) = places[number % places.len()];
@@ -194,7 +202,7 @@
             drain_ms: self.options.drain,
             ..Settings::default()
         };
-        let node = Node::start(settings, self.document.clone(), self.options.node.clone())?;
+        let node = Node::start(settings, document, self.options.node.clone())?;
         self.cloud.register(Instance {
             id: format!("entry-{}", number + 1),
             token: String::new(),
@@ -254,6 +262,36 @@
         self.nodes.borrow()[number].as_ref().map(Node::address)
     }
 
+    /// Returns an operator that calls a running node.
+    #[must_use]
+    pub fn operator(&self, number: usize) -> Option<Operator> {
+        self.operator_with(number, SECRET)
+    }
+
+    /// Returns one with another secret.
+    #[must_use]
+    pub fn operator_with(&self, number: usize, secret: &str) -> Option<Operator> {
+        let nodes = self.nodes.borrow();
+        let node = nodes[number].as_ref()?;
+        Some(Operator::new(node.peer_address(), secret))
+    }
+
+    /// Returns true when callers should use a node.
+    #[must_use]
+    pub fn is_ready(&self, number: usize) -> bool {
+        self.nodes.borrow()[number].as_ref().is_some_and(Node::is_ready)
+    }
+
+    /// Completes when a node was told to drain, as by a reclaim notice.
+    pub async fn drain_ordered(&self, number: usize) {
+        // The node leaves the list for the wait, so that no borrow is held meanwhile.
+        let node = self.nodes.borrow_mut()[number].take();
+        if let Some(node) = node {
+            node.reclaimed().await;
+            self.nodes.borrow_mut()[number] = Some(node);
+        }
+    }
+
     /// Returns the number of the running node with this address.
     #[must_use]
     pub fn number(&self, entry: SocketAddr) -> Option<usize> {
