--- a/crates/cumin-core/src/ctl.rs
+++ b/crates/cumin-core/src/ctl.rs
@@ -9,7 +9,10 @@
 
 use crate::args::nearest;
 use crate::{Status, Terminal, UsageError};
-use crate::{check, demo, diff, keygen, load, promote, schema};
+use crate::{
+    apply, check, demo, diff, drain, explain, history, keygen, load, operate, promote, schema,
+    status,
+};
 
 const HELP: &str = "\
 Operators' tool of cuminladder.
@@ -20,17 +23,23 @@
   load     send load at a steady rate; `load relay` measures a node's cost
   check    check documents, or settings with --settings
   diff     list the keys that differ between two documents
+  apply    make a document the next revision
   promote  make the production document of a tested one and its overrides
   keygen   make an organisation key and its digest
   schema   print the JSON schema of documents, or of settings with --settings
+  history  list the accepted revisions
+  status   tell the state of the system as one node sees it
+  explain  list the decisions about a request, endpoint, instance or node
+  drain    have a node finish or hand over its requests and stop
 
 `cuminctl COMMAND --help` describes a command.
 
-exit status: 0 done, 1 a promise or a comparison did not hold, 2 bad usage or input, 3 the system
+exit status: 0 done, 1 a promise or a comparison did not hold or a change lost, 2 bad usage or input, 3 the system
 could not be reached or refused";
 
-const COMMANDS: [&str; 7] = [
-    "demo", "load", "check", "diff", "promote", "keygen", "schema",
+const COMMANDS: [&str; 12] = [
+    "demo", "load", "check", "diff", "apply", "promote", "keygen", "schema", "history", "status",
+    "explain", "drain",
 ];
 
 /// A file that a command can't use.
@@ -83,14 +92,18 @@
     File(FileError),
     Demo(demo::Error),
     Load(load::Error),
+    Operate(operate::Error),
 }
 
 impl Failure {
     fn status(&self) -> Status {
         match self {
-            Self::Usage(_) | Self::File(_) => Status::Usage,
+            Self::Usage(_) | Self::File(_) | Self::Operate(operate::Error::File(_)) => {
+                Status::Usage
+            }
             Self::Demo(error) => error.status(),
             Self::Load(error) => error.status(),
+            Self::Operate(operate::Error::Call(_)) => Status::Refused,
         }
     }
 }
@@ -113,6 +126,11 @@
         "promote" => (promote::HELP, promote::command),
         "keygen" => (keygen::HELP, keygen::command),
         "schema" => (schema::HELP, schema::command),
+        "apply" => (apply::HELP, apply::command),
+        "history" => (history::HELP, history::command),
+        "status" => (status::HELP, status::command),
+        "explain" => (explain::HELP, explain::command),
+        "drain" => (drain::HELP, drain::command),
         "help" | "--help" | "-h" => {
             terminal.print(HELP);
             return Status::Done;
--- /dev/null
+++ b/crates/cumin-core/src/drain.rs
@@ -0,0 +1,62 @@
+//! `cuminctl drain`: has a node finish or hand over its requests and stop, as a reclaim notice does.
+
+use std::ffi::OsString;
+
+use cumin_types::NodeName;
+
+use crate::args::Args;
+use crate::ctl::Failure;
+use crate::operate::{Error, Target};
+use crate::{Status, Terminal, UsageError};
+
+pub(crate) const HELP: &str = "\
+Has the node at --node finish or hand over its requests and stop, as a reclaim notice does.
+
+usage: cuminctl drain --node IP:PORT --secret-file FILE [--json]
+
+  --node IP:PORT      `peer_listen` address of the node
+  --secret-file FILE  file with the secret of the nodes
+  --json              print JSON
+
+exit status: 0 done, 2 bad usage or input, 3 the node could not be reached";
+
+/// What to call.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where.
+    pub target: Target,
+    /// True to print JSON.
+    pub json: bool,
+}
+
+impl Options {
+    fn read(args: Vec<OsString>) -> Result<Self, UsageError> {
+        let mut args = Args::new(args, &["--node", "--secret-file", "--json", "--help"])?;
+        let target = Target::read(&mut args)?;
+        let json = args.flag("--json");
+        args.done()?;
+        Ok(Self { target, json })
+    }
+}
+
+/// The node that drains.
+pub type Outcome = NodeName;
+
+/// Tells a node to drain.
+///
+/// # Errors
+/// When the secret can't be read or the node does not answer.
+pub fn drain(options: &Options) -> Result<Outcome, Error> {
+    options.target.call(async |operator| operator.drain().await)
+}
+
+pub(crate) fn command(args: Vec<OsString>, terminal: &mut Terminal<'_>) -> Result<Status, Failure> {
+    let options = Options::read(args)?;
+    let outcome = drain(&options)?;
+    if options.json {
+        terminal.json(&serde_json::json!({ "draining": outcome }));
+    } else {
+        terminal.print(format!("{outcome} drains"));
+    }
+    Ok(Status::Done)
+}
--- a/crates/cumin-core/src/lib.rs
+++ b/crates/cumin-core/src/lib.rs
@@ -4,17 +4,23 @@
 //! command has `Options`, read from its arguments, an `Outcome` and an `Error`; [`ctl`] and
 //! [`node`] run a whole command line against a [`Terminal`], so that tests need no process.
 
+pub mod apply;
 mod args;
 pub mod check;
 mod ctl;
 pub mod demo;
 pub mod diff;
+pub mod drain;
+pub mod explain;
+pub mod history;
 pub mod keygen;
 pub mod load;
 mod logging;
+pub mod operate;
 pub mod promote;
 pub mod run;
 pub mod schema;
+pub mod status;
 mod terminal;
 
 use std::env;
--- /dev/null
+++ b/crates/cumin-core/src/operate.rs
@@ -0,0 +1,94 @@
+//! What the commands that call a running node share: the flags that name it, and tables.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use cumin_config::Secret;
+use cumin_node::{Operator, OperatorError};
+use cumin_types::WallMillis;
+
+use crate::UsageError;
+use crate::args::Args;
+use crate::ctl::{self, FileError};
+
+/// A running node and the secret that it shares with the others.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its `peer_listen` address.
+    pub node: SocketAddr,
+    /// File with the secret.
+    pub secret_file: PathBuf,
+}
+
+impl Target {
+    pub(crate) fn read(args: &mut Args) -> Result<Self, UsageError> {
+        let accepted = "IP:PORT, the peer_listen address of a node";
+        let node = args.value("--node", accepted)?;
+        let secret_file = args.path("--secret-file")?;
+        Ok(Self {
+            node: node.ok_or_else(|| UsageError::missing("--node", accepted))?,
+            secret_file: secret_file.ok_or_else(|| {
+                UsageError::missing("--secret-file", "the file with the secret of the nodes")
+            })?,
+        })
+    }
+
+    /// Reads the secret.
+    pub(crate) fn operator(&self) -> Result<Operator, FileError> {
+        let secret = Secret::new(&ctl::read(&self.secret_file)?);
+        Ok(Operator::new(self.node, secret.expose()))
+    }
+
+    /// Runs a call to its end.
+    pub(crate) fn call<T>(
+        &self,
+        call: impl AsyncFnOnce(Operator) -> Result<T, OperatorError>,
+    ) -> Result<T, Error> {
+        let operator = self.operator()?;
+        actix_rt::System::new()
+            .block_on(call(operator))
+            .map_err(Error::Call)
+    }
+}
+
+/// A call that has no answer.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum Error {
+    /// A file can't be used.
+    File(FileError),
+    /// The node does not answer.
+    Call(OperatorError),
+}
+
+/// Lays rows out in columns; the last one is not padded.
+pub(crate) fn table(rows: &[Vec<String>]) -> Vec<String> {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<_> = (0..columns).map(width).collect();
+    let line = |row: &Vec<String>| {
+        let cells = row.iter().zip(&widths);
+        let cells: Vec<_> = cells
+            .map(|(cell, width)| format!("{cell:width$}"))
+            .collect();
+        cells.join("  ").trim_end().to_owned()
+    };
+    rows.iter().map(line).collect()
+}
+
+/// Tells how long ago something was, in its largest whole unit.
+pub(crate) fn ago(at: WallMillis) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let seconds = now
+        .map_or(0, |now| now.as_secs())
+        .saturating_sub(at.0 / 1000);
+    match seconds {
+        0..=119 => format!("{seconds} s ago"),
+        120..=7199 => format!("{} min ago", seconds / 60),
+        7200..=172_799 => format!("{} h ago", seconds / 3600),
+        _ => format!("{} d ago", seconds / 86_400),
+    }
+}
--- a/crates/cumin-core/src/run.rs
+++ b/crates/cumin-core/src/run.rs
@@ -21,10 +21,10 @@
 const HELP: &str = "\
 Runs a node of cuminladder.
 
-usage: cuminladder --settings FILE --document FILE [--check] [--log LEVEL]
+usage: cuminladder --settings FILE [--document FILE] [--check] [--log LEVEL]
 
   --settings FILE  settings of the node, TOML
-  --document FILE  document of the environment, TOML
+  --document FILE  document of the environment, TOML, used until the log has a revision
   --check          check both files and exit; opens no socket
   --log LEVEL      off, error, warn, info, debug or trace; RUST_LOG or info when absent
   --version        print the version
@@ -150,7 +150,7 @@
 }
 
 /// Reads settings and document; every problem of both is in the error.
-fn load(options: &Options) -> Result<(Settings, Document), Vec<String>> {
+fn load(options: &Options) -> Result<(Settings, Option<Document>), Vec<String>> {
     let settings = parse(&options.settings, Settings::parse).and_then(|mut settings| {
         let secret = settings.load_secret();
         let secret = secret.map_err(|error| vec![in_file(&options.settings, error)])?;
@@ -158,15 +158,13 @@
         Ok(settings)
     });
     let document = match &options.document {
-        Some(path) => parse(path, Document::parse),
-        None => Err(vec![
-            UsageError::missing("--document", "a file; it is not read from the log yet")
-                .to_string(),
-        ]),
+        Some(path) => parse(path, Document::parse).map(Some),
+        None => Ok(None),
     };
     match (settings, document) {
-        (Ok(settings), Ok(document)) => match settings.check(&document) {
-            Ok(()) => Ok((settings, document)),
+        (Ok(settings), Ok(None)) => Ok((settings, None)),
+        (Ok(settings), Ok(Some(document))) => match settings.check(&document) {
+            Ok(()) => Ok((settings, Some(document))),
             Err(problems) => Err(each(&options.settings, &problems)),
         },
         (settings, document) => {
@@ -213,7 +211,7 @@
     }
 }
 
-async fn serve(settings: Settings, document: Document) -> Result<Outcome, Error> {
+async fn serve(settings: Settings, document: Option<Document>) -> Result<Outcome, Error> {
     let mut signals = Signals::listen().map_err(Error::Signals)?;
     let name = settings.name.clone();
     let node = Node::start(settings, document, cumin_node::Options::default());
--- /dev/null
+++ b/crates/cumin-core/src/status.rs
@@ -0,0 +1,105 @@
+//! `cuminctl status`: tells the state of the system as one node sees it.
+
+use std::ffi::OsString;
+
+use cumin_node::Report;
+
+use crate::args::Args;
+use crate::ctl::Failure;
+use crate::operate::{Error, Target, table};
+use crate::{Status, Terminal, UsageError};
+
+pub(crate) const HELP: &str = "\
+Tells the state of the system as one node sees it.
+
+usage: cuminctl status --node IP:PORT --secret-file FILE [--json]
+
+  --node IP:PORT      `peer_listen` address of any node
+  --secret-file FILE  file with the secret of the nodes
+  --json              print JSON
+
+exit status: 0 done, 2 bad usage or input, 3 the node could not be reached";
+
+/// What to call.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where.
+    pub target: Target,
+    /// True to print JSON.
+    pub json: bool,
+}
+
+impl Options {
+    fn read(args: Vec<OsString>) -> Result<Self, UsageError> {
+        let mut args = Args::new(args, &["--node", "--secret-file", "--json", "--help"])?;
+        let target = Target::read(&mut args)?;
+        let json = args.flag("--json");
+        args.done()?;
+        Ok(Self { target, json })
+    }
+}
+
+/// The state of the system.
+pub type Outcome = Report;
+
+/// Asks a node for the state.
+///
+/// # Errors
+/// When the secret can't be read or the node does not answer.
+pub fn status(options: &Options) -> Result<Outcome, Error> {
+    options
+        .target
+        .call(async |operator| operator.status().await)
+}
+
+pub(crate) fn command(args: Vec<OsString>, terminal: &mut Terminal<'_>) -> Result<Status, Failure> {
+    let options = Options::read(args)?;
+    let outcome = status(&options)?;
+    if options.json {
+        terminal.json(&outcome);
+        return Ok(Status::Done);
+    }
+    let digest = outcome
+        .digest
+        .map(|digest| format!(" ({})", digest.short()));
+    terminal.print(format!(
+        "node {}: revision {}{}, {}{}, {} running, {} queued",
+        outcome.node,
+        outcome.revision,
+        digest.unwrap_or_default(),
+        if outcome.ready { "ready" } else { "not ready" },
+        if outcome.leaving { ", leaving" } else { "" },
+        outcome.running,
+        outcome.queued
+    ));
+    let head = [
+        "member",
+        "status",
+        "place",
+        "incarnation",
+        "callers",
+        "peers",
+    ];
+    let mut rows = vec![head.map(String::from).to_vec()];
+    rows.extend(outcome.members.iter().map(|member| {
+        vec![
+            member.name.to_string(),
+            member.status.clone(),
+            member.place.to_string(),
+            member.incarnation.to_string(),
+            member.caller.to_string(),
+            member.rpc.to_string(),
+        ]
+    }));
+    let mut services = vec![vec!["service".to_owned(), "endpoints".to_owned()]];
+    services.extend(
+        outcome
+            .endpoints
+            .iter()
+            .map(|(service, count)| vec![service.to_string(), count.to_string()]),
+    );
+    for line in table(&rows).into_iter().chain(table(&services)) {
+        terminal.print(line);
+    }
+    Ok(Status::Done)
+}
--- a/crates/cumin-core/tests/all/main.rs
+++ b/crates/cumin-core/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod demo_promises;
 mod documents;
 mod load_report;
+mod operate;
 mod support;
--- a/crates/cumin-node/src/lib.rs
+++ b/crates/cumin-node/src/lib.rs
@@ -23,8 +23,8 @@
 mod request;
 mod task;
 
-pub use cumin_state::config::Way;
 pub use config::Held;
+pub use cumin_state::config::Way;
 pub use explain::Decision;
 pub use node::{Node, Options, StartError};
 pub use op::{Applied, Apply, Explained, Operator, OperatorError, Past, Report, Seen, Told};
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -21,9 +21,10 @@
 use cumin_types::{Millis, Place};
 use cumin_wire::cloud::{Instance, Kind, Market, State};
 use derive_more::{Display, Error, From};
+use futures_util::FutureExt;
 
 /// Shared secret of the nodes of a testbed.
-const SECRET: &str = "testbed-secret-0123456789-0123456789";
+pub const SECRET: &str = "testbed-secret-0123456789-0123456789";
 
 /// What a testbed runs.
 #[derive(Clone)]
@@ -262,6 +263,12 @@
         self.nodes.borrow()[number].as_ref().map(Node::address)
     }
 
+    /// Returns the address of a running node for other nodes and operators.
+    #[must_use]
+    pub fn peer(&self, number: usize) -> Option<SocketAddr> {
+        self.nodes.borrow()[number].as_ref().map(Node::peer_address)
+    }
+
     /// Returns an operator that calls a running node.
     #[must_use]
     pub fn operator(&self, number: usize) -> Option<Operator> {
@@ -271,25 +278,23 @@
     /// Returns one with another secret.
     #[must_use]
     pub fn operator_with(&self, number: usize, secret: &str) -> Option<Operator> {
-        let nodes = self.nodes.borrow();
-        let node = nodes[number].as_ref()?;
-        Some(Operator::new(node.peer_address(), secret))
+        Some(Operator::new(self.peer(number)?, secret))
     }
 
     /// Returns true when callers should use a node.
     #[must_use]
     pub fn is_ready(&self, number: usize) -> bool {
-        self.nodes.borrow()[number].as_ref().is_some_and(Node::is_ready)
+        self.nodes.borrow()[number]
+            .as_ref()
+            .is_some_and(Node::is_ready)
     }
 
-    /// Completes when a node was told to drain, as by a reclaim notice.
-    pub async fn drain_ordered(&self, number: usize) {
-        // The node leaves the list for the wait, so that no borrow is held meanwhile.
-        let node = self.nodes.borrow_mut()[number].take();
-        if let Some(node) = node {
-            node.reclaimed().await;
-            self.nodes.borrow_mut()[number] = Some(node);
-        }
+    /// Returns true, once, when a node was told to drain, as by a reclaim notice.
+    #[must_use]
+    pub fn drain_ordered(&self, number: usize) -> bool {
+        let nodes = self.nodes.borrow();
+        let node = nodes[number].as_ref();
+        node.is_some_and(|node| node.reclaimed().now_or_never().is_some())
     }
 
     /// Returns the number of the running node with this address.
--- a/crates/cumin-testbed/tests/all/main.rs
+++ b/crates/cumin-testbed/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod support;
 
 mod actions;
+mod configuration;
 mod overload;
 mod streams;
