--- a/crates/cumin-core/tests/all/operate.rs
+++ b/crates/cumin-core/tests/all/operate.rs
@@ -55,7 +55,7 @@
                 .expect("the test waits");
             let begin = Instant::now();
             while !bed.drain_ordered(0) {
-                assert!(begin.elapsed() < Duration::from_secs(60), "no drain");
+                assert!(begin.elapsed() < Duration::from_mins(1), "no drain");
                 actix_rt::time::sleep(Duration::from_millis(50)).await;
             }
         });
@@ -98,7 +98,8 @@
         "--json",
     ]);
     done(&ended, Status::Broken, &[r#""outcome": "conflict""#]);
-    done(&call(&["history"]), Status::Done, &["anahera"]);
+    let key = "organisations.hamilton-ovens.quota.requests_per_second";
+    done(&call(&["history"]), Status::Done, &["anahera", key]);
     done(
         &call(&["history", "--json"]),
         Status::Done,
--- a/crates/cumin-node/src/config.rs
+++ b/crates/cumin-node/src/config.rs
@@ -13,7 +13,7 @@
 };
 use cumin_member::Item;
 use cumin_state::batch::{Author, Stream, encode, new_id};
-use cumin_state::config::{Change, Config, Entry, Record, Running, Verdict, Way};
+use cumin_state::config::{Change, Config, Entry, Record, Refusal, Running, Verdict, Way};
 use cumin_state::fold::{Fold, Retention};
 use cumin_state::pace::Pace;
 use cumin_state::writer::{Effect, Fate, Input, Options, Ticket, Writer};
@@ -425,14 +425,16 @@
 /// Returns the keys in which two texts differ.
 fn keys(old: &str, new: &str) -> Vec<String> {
     match (Document::parse(old), Document::parse(new)) {
-        (Ok(old), Ok(new)) => cumin_config::diff(&old, &new)
-            .into_iter()
-            .map(|change| change.key)
-            .collect(),
+        (Ok(old), Ok(new)) => differing(&old, &new),
         _ => Vec::new(),
     }
 }
 
+fn differing(old: &Document, new: &Document) -> Vec<String> {
+    let changes = cumin_config::diff(old, new).into_iter();
+    changes.map(|change| change.key).collect()
+}
+
 /// Appends a change and reads it back.
 pub(crate) async fn apply(
     ctx: &Ctx,
@@ -441,16 +443,32 @@
     by: &str,
     way: Way,
 ) -> Applied {
-    if let Err(problems) = parse(ctx, &text) {
-        return Applied::Invalid { problems };
-    }
+    let document = match parse(ctx, &text) {
+        Ok(document) => document,
+        Err(problems) => return Applied::Invalid { problems },
+    };
     if by.trim().is_empty() {
         return Applied::refused("a change needs the name of who makes it");
     }
     // Nothing is sent while the log can't be read, so an outage leaves no change that lands late.
-    if !catch_up(ctx).await {
+    let read = catch_up(ctx).await;
+    let (incomplete, logged) = {
+        let fold = ctx.config.fold.borrow();
+        (fold.state().incomplete(), fold.state().revision())
+    };
+    if incomplete {
+        return Applied::refused(&Refusal::Incomplete.to_string());
+    }
+    if !read {
         return Applied::unavailable("the config stream can't be read; nothing was changed");
     }
+    let running = ctx.config.revision().0;
+    if running > logged {
+        // No node would take the new revision, because the revision in force never falls.
+        return Applied::refused(&format!(
+            "the nodes run revision {running}, the log has revision {logged}; import an export first"
+        ));
+    }
     let id = new_id(wall(), &mut rand::rng());
     let change = {
         let fold = ctx.config.fold.borrow();
@@ -459,6 +477,8 @@
         let mut change = Change::new(id, base, text.clone(), by, way);
         if let Some(old) = state.text(base) {
             change.keys = keys(old, &text);
+        } else if base == Revision(0) && ctx.config.revision().0 == base && ctx.config.present() {
+            change.keys = differing(&ctx.document(), &document);
         }
         change
     };
--- a/crates/cumin-node/src/op.rs
+++ b/crates/cumin-node/src/op.rs
@@ -107,6 +107,7 @@
     /// When the log took it.
     pub at: WallMillis,
     /// How it came to be.
+    #[serde(flatten)]
     pub way: Way,
     /// Keys that differ from the revision before.
     pub keys: Vec<String>,
