--- a/crates/cumin-node/src/admission.rs
+++ b/crates/cumin-node/src/admission.rs
@@ -20,7 +20,10 @@
 /// Period of exchanging demand and of looking at deadlines of queued requests.
 const PERIOD: Duration = Duration::from_millis(100);
 /// Periods between two reports of demand.
-const REPORT_EVERY: u32 = 4;
+const REPORT_EVERY: u32 = 20;
+/// The same in the first periods after the start, so that shares settle soon.
+const REPORT_EARLY: u32 = 4;
+const EARLY: u32 = 40;
 /// Time that a report of demand is valid, milliseconds.
 const REPORT_TTL_MS: u64 = 10_000;
 /// Requests that a node may have at endpoints, as a multiple of its equal share of their slots;
@@ -212,7 +215,12 @@
     pub(crate) async fn drive(ctx: Rc<Ctx>) {
         let mut round = 0;
         loop {
-            if round % REPORT_EVERY == 0 {
+            let every = if round < EARLY {
+                REPORT_EARLY
+            } else {
+                REPORT_EVERY
+            };
+            if round % every == 0 {
                 ctx.gate.exchange(&ctx);
             }
             ctx.gate.pump(&ctx);
--- a/crates/cumin-node/src/health.rs
+++ b/crates/cumin-node/src/health.rs
@@ -18,6 +18,7 @@
 use crate::fleet::Picked;
 use crate::http;
 use crate::node::Ctx;
+use crate::peer::PeerClient;
 use crate::request::Live;
 
 /// Longest wait for an endpoint to show that it lives.
@@ -239,21 +240,28 @@
     }
 
     /// Tells other nodes of suspects and quarantined requests, for ever.
+    ///
+    /// New records go to every live node by a call of their own: a crash makes many at once, and
+    /// beside the reports of demand the membership took more than 5 s to carry them, in which a
+    /// node that had not heard of it ran a quarantined request. The membership repairs what a
+    /// lost call leaves out.
     pub(crate) async fn drive(ctx: Rc<Ctx>) {
         loop {
             let now = ctx.clock.now();
             let records = ctx.health.quarantine.borrow_mut().gossip(now);
-            for record in records
-                .iter()
-                .filter(|record| record.author == ctx.settings.name || record.left.0 > 0)
-            {
-                ctx.health.publish(&ctx, record, now);
+            let news: Vec<_> = records
+                .into_iter()
+                .filter(|record| ctx.health.publish(&ctx, record, now))
+                .collect();
+            if !news.is_empty() {
+                tell(&ctx, &news);
             }
             actix_rt::time::sleep(GOSSIP_PERIOD).await;
         }
     }
 
-    fn publish(&self, ctx: &Ctx, record: &Quarantined, now: Millis) {
+    /// Publishes a record as an item of the membership; false when its state is known there.
+    fn publish(&self, ctx: &Ctx, record: &Quarantined, now: Millis) -> bool {
         let key = format!(
             "quarantine/{}/{}/{}",
             record.author,
@@ -261,13 +269,17 @@
             record.fingerprint.0.short()
         );
         let value = serde_json::to_value(record).unwrap_or_default();
-        let known = ctx.members.items(&key);
-        let same = |item: &Item| item.value.get("state") == value.get("state");
-        if known.iter().any(same) {
-            return;
+        let known = ctx.members.item(&key);
+        if known
+            .as_ref()
+            .is_some_and(|item| item.value.get("state") == value.get("state"))
+        {
+            return false;
         }
-        self.published.set(self.published.get() + 1);
-        let version = self.published.get();
+        // Above the held version, which another node may have made.
+        let held = known.map_or(0, |item| item.version);
+        let version = held.max(self.published.get()) + 1;
+        self.published.set(version);
         ctx.members.publish(
             Item {
                 key,
@@ -277,6 +289,12 @@
             },
             now,
         );
+        true
+    }
+
+    /// Takes the records of another node.
+    pub(crate) fn told(&self, records: &[Quarantined], now: Millis) {
+        self.quarantine.borrow_mut().merge(records, now);
     }
 
     /// Takes what another node tells.
@@ -301,3 +319,27 @@
     }
     false
 }
+
+/// Sends records to every live node.
+fn tell(ctx: &Rc<Ctx>, records: &[Quarantined]) {
+    let me = ctx.settings.name.clone();
+    for member in ctx
+        .members
+        .entries()
+        .into_iter()
+        .filter(|member| member.name != me)
+    {
+        let Ok(client) = ctx.client.to(member.rpc) else {
+            continue;
+        };
+        let records = records.to_vec();
+        ctx.tasks.spawn(async move {
+            if let Err(error) = client.suspects(records).await {
+                log::debug!(
+                    "event=suspects_not_told node={} error={error:?}",
+                    member.name
+                );
+            }
+        });
+    }
+}
--- a/crates/cumin-node/src/peer/rpc.rs
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -1,10 +1,13 @@
 //! The methods that nodes offer each other.
 
+use crate::config::Held;
+use crate::op::{Applied, Apply, Explained, Past, Report};
 use crate::record::Submission;
 use std::net::SocketAddr;
 
 use cumin_member::Message;
 use cumin_request::{Ack, Given, Progress, Refused};
+use cumin_retry::Quarantined;
 use cumin_state::recorder::Verdict;
 use cumin_types::{Epoch, NodeName, Organisation, Position, RequestId};
 use jsonrpsee::core::RpcResult;
@@ -57,6 +60,10 @@
     #[method(name = "request_take")]
     async fn take(&self, id: RequestId, taker: NodeName) -> RpcResult<Option<Given>>;
 
+    /// Tells of suspects and quarantined requests.
+    #[method(name = "quarantine_tell")]
+    async fn suspects(&self, records: Vec<Quarantined>) -> RpcResult<()>;
+
     /// Submits a record to the recorder of its shard.
     #[method(name = "record_submit")]
     async fn submit(&self, submission: Submission) -> RpcResult<Verdict>;
@@ -64,4 +71,28 @@
     /// Hands requests over that the sender no longer runs.
     #[method(name = "request_give")]
     async fn give(&self, given: Vec<Given>) -> RpcResult<Vec<bool>>;
+
+    /// Asks for the document that the node runs; none below revision 1.
+    #[method(name = "config_fetch")]
+    async fn config_fetch(&self) -> RpcResult<Option<Held>>;
+
+    /// Changes the document.
+    #[method(name = "op_apply")]
+    async fn apply(&self, apply: Apply) -> RpcResult<Applied>;
+
+    /// Asks for the accepted revisions.
+    #[method(name = "op_history")]
+    async fn history(&self) -> RpcResult<Vec<Past>>;
+
+    /// Asks what the node sees.
+    #[method(name = "op_status")]
+    async fn status(&self) -> RpcResult<Report>;
+
+    /// Asks for the decisions about a subject, those of the other nodes too when `all` is set.
+    #[method(name = "op_explain")]
+    async fn explain(&self, subject: String, all: bool) -> RpcResult<Explained>;
+
+    /// Has the node drain and stop, as a reclaim notice does.
+    #[method(name = "op_drain")]
+    async fn drain(&self) -> RpcResult<NodeName>;
 }
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -9,6 +9,7 @@
 use cumin_http::{Handler, Options, Server};
 use cumin_member::Message;
 use cumin_request::{Ack, Given, Progress, Refused};
+use cumin_retry::Quarantined;
 use cumin_types::{NodeName, RequestId};
 use futures_util::FutureExt;
 use jsonrpsee::RpcModule;
@@ -19,6 +20,8 @@
 
 use super::rpc::{Found, PeerServer};
 use crate::caller::read_body;
+use crate::config::Held;
+use crate::op::{Applied, Apply, Explained, Op, Past, Report};
 use crate::record::Submission;
 use cumin_state::recorder::Verdict;
 
@@ -37,8 +40,10 @@
     Progress(Vec<Progress>, Reply<Vec<Ack>>),
     Find(RequestId, Reply<Option<Found>>),
     Take(RequestId, NodeName, Reply<Option<Given>>),
+    Suspects(Vec<Quarantined>, Reply<()>),
     Submit(Box<Submission>, Reply<Verdict>),
     Give(Vec<Given>, Reply<Vec<bool>>),
+    Op(Op),
 }
 
 /// Where calls arrive.
@@ -90,6 +95,10 @@
         self.ask(|reply| Call::Take(id, taker, reply)).await
     }
 
+    async fn suspects(&self, records: Vec<Quarantined>) -> RpcResult<()> {
+        self.ask(|reply| Call::Suspects(records, reply)).await
+    }
+
     async fn submit(&self, submission: Submission) -> RpcResult<Verdict> {
         self.ask(|reply| Call::Submit(Box::new(submission), reply))
             .await
@@ -98,6 +107,32 @@
     async fn give(&self, given: Vec<Given>) -> RpcResult<Vec<bool>> {
         self.ask(|reply| Call::Give(given, reply)).await
     }
+
+    async fn config_fetch(&self) -> RpcResult<Option<Held>> {
+        self.ask(|reply| Call::Op(Op::Fetch(reply))).await
+    }
+
+    async fn apply(&self, apply: Apply) -> RpcResult<Applied> {
+        self.ask(|reply| Call::Op(Op::Apply(Box::new(apply), reply)))
+            .await
+    }
+
+    async fn history(&self) -> RpcResult<Vec<Past>> {
+        self.ask(|reply| Call::Op(Op::History(reply))).await
+    }
+
+    async fn status(&self) -> RpcResult<Report> {
+        self.ask(|reply| Call::Op(Op::Status(reply))).await
+    }
+
+    async fn explain(&self, subject: String, all: bool) -> RpcResult<Explained> {
+        self.ask(|reply| Call::Op(Op::Explain(subject, all, reply)))
+            .await
+    }
+
+    async fn drain(&self) -> RpcResult<NodeName> {
+        self.ask(|reply| Call::Op(Op::Drain(reply))).await
+    }
 }
 
 /// Binds `address` for calls from other nodes.
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -13,7 +13,7 @@
 
 use cumin_client::Client;
 use cumin_config::{Document, Secret, ServiceKind, ServiceSpec, Settings};
-use cumin_node::{Node, StartError};
+use cumin_node::{Node, Operator, StartError};
 use cumin_standin::cloud::{self, Cloud};
 use cumin_standin::engine::{self, Engine};
 use cumin_standin::log::{self as log_service, Log};
@@ -21,9 +21,10 @@
 use cumin_types::{Millis, Place};
 use cumin_wire::cloud::{Instance, Kind, Market, State};
 use derive_more::{Display, Error, From};
+use futures_util::FutureExt;
 
 /// Shared secret of the nodes of a testbed.
-const SECRET: &str = "testbed-secret-0123456789-0123456789";
+pub const SECRET: &str = "testbed-secret-0123456789-0123456789";
 
 /// What a testbed runs.
 #[derive(Clone)]
@@ -169,6 +170,14 @@
     /// # Errors
     /// When an address can't be bound.
     pub fn add_node(&self) -> Result<usize, Error> {
+        self.add_node_with(Some(self.document.clone()))
+    }
+
+    /// Starts one more node with another document, or with none; returns its number.
+    ///
+    /// # Errors
+    /// When an address can't be bound.
+    pub fn add_node_with(&self, document: Option<Document>) -> Result<usize, Error> {
         let number = self.nodes.borrow().len();
         let places: Vec<_> = self.document.places.iter().collect();
         let (place, spec) = places[number % places.len()];
@@ -194,7 +203,7 @@
             drain_ms: self.options.drain,
             ..Settings::default()
         };
-        let node = Node::start(settings, self.document.clone(), self.options.node.clone())?;
+        let node = Node::start(settings, document, self.options.node.clone())?;
         self.cloud.register(Instance {
             id: format!("entry-{}", number + 1),
             token: String::new(),
@@ -255,6 +264,40 @@
         self.nodes.borrow()[number].as_ref().map(Node::address)
     }
 
+    /// Returns the address of a running node for other nodes and operators.
+    #[must_use]
+    pub fn peer(&self, number: usize) -> Option<SocketAddr> {
+        self.nodes.borrow()[number].as_ref().map(Node::peer_address)
+    }
+
+    /// Returns an operator that calls a running node.
+    #[must_use]
+    pub fn operator(&self, number: usize) -> Option<Operator> {
+        self.operator_with(number, SECRET)
+    }
+
+    /// Returns one with another secret.
+    #[must_use]
+    pub fn operator_with(&self, number: usize, secret: &str) -> Option<Operator> {
+        Some(Operator::new(self.peer(number)?, secret))
+    }
+
+    /// Returns true when callers should use a node.
+    #[must_use]
+    pub fn is_ready(&self, number: usize) -> bool {
+        self.nodes.borrow()[number]
+            .as_ref()
+            .is_some_and(Node::is_ready)
+    }
+
+    /// Returns true, once, when a node was told to drain, as by a reclaim notice.
+    #[must_use]
+    pub fn drain_ordered(&self, number: usize) -> bool {
+        let nodes = self.nodes.borrow();
+        let node = nodes[number].as_ref();
+        node.is_some_and(|node| node.reclaimed().now_or_never().is_some())
+    }
+
     /// Returns the number of the running node with this address.
     #[must_use]
     pub fn number(&self, entry: SocketAddr) -> Option<usize> {
