Confirm the ownership of a request before a further attempt

Cause, from the process tests: after SIGSTOP and SIGCONT a node takes its own pause for a stalled engine and sends the request to another one, and only the next batch of tokens tells it that the request was taken over. No token reached a caller, but the work was done twice. It now asks the second node first; one call for each further attempt.

--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -8,7 +8,7 @@
 use cumin_types::{AttemptId, Call, Millis, Outcome};
 
 use super::engine::{self, Event, Events};
-use super::{Command, Live};
+use super::{Command, Live, replica};
 use crate::fleet::Picked;
 use crate::node::Ctx;
 
@@ -31,6 +31,11 @@
     let service = live.run.borrow().descriptor().service.clone();
     let mut prefer = None;
     loop {
+        let again = !live.run.borrow().tried().is_empty();
+        if again && !replica::confirm_owner(ctx, live).await {
+            give_up(ctx, live, "superseded");
+            return;
+        }
         let Some(picked) = pick(ctx, live, prefer.take()).await else {
             return;
         };
--- a/crates/cumin-node/src/request/replica.rs
+++ b/crates/cumin-node/src/request/replica.rs
@@ -146,6 +146,24 @@
     }
 }
 
+/// Asks the second node whether this one still owns the request. A node that was paused takes its
+/// own pause for a stalled endpoint, and would dispatch again what another node has taken over.
+pub(super) async fn confirm_owner(ctx: &Rc<Ctx>, live: &Live) -> bool {
+    if let Some(second) = live.second()
+        && let Ok(client) = ctx.client.to(second.rpc)
+    {
+        let batch = vec![progress(live)];
+        if let Ok(acks) = client.progress(batch).await
+            && let Some(Ack::Superseded(epoch)) = acks.first()
+        {
+            let reasons = format!("by={} epoch={epoch}", second.name);
+            ctx.decisions.note("superseded", &live.id, &reasons);
+            live.supersede();
+        }
+    }
+    !live.superseded()
+}
+
 /// Finds a new second after `old` failed to hold the request.
 async fn replace(ctx: &Rc<Ctx>, live: &Live, old: &Member, why: &str) {
     // A node that lost the request, as after a restart, can hold it again.
