Test nodes as separate processes under signals

Cause: all tests so far run the nodes inside the test process, where a node can neither be killed in the middle of a system call nor be paused.

--- /dev/null
+++ b/tests/all/chat_streams.rs
@@ -0,0 +1,24 @@
+use std::time::Duration;
+
+use cumin_types::Outcome;
+
+use crate::cluster::{Cluster, chat, expected};
+
+/// Guards against a binary that serves only inside the test process: settings, sockets between
+/// processes, and the second node in another process.
+#[actix_rt::test]
+async fn chat_streams_whole_from_each_process() {
+    let cluster = Cluster::start(Duration::from_millis(1), Duration::from_secs(5)).await;
+    for node in &cluster.nodes {
+        let request = chat("why is the crumb so close", 64);
+        let streamed = cluster.caller(&[node.entry]).chat(&request).await;
+        let streamed = streamed.expect("the stream ends");
+        assert_eq!(streamed.tokens, expected(&request));
+        assert_eq!(streamed.outcome, Some(Outcome::Done));
+        assert!(
+            streamed.second.is_some(),
+            "a second process holds the request"
+        );
+        assert_eq!((streamed.repeated, streamed.skipped), (0, 0));
+    }
+}
--- /dev/null
+++ b/tests/all/cluster.rs
@@ -0,0 +1,354 @@
+//! Four node processes and the stand-ins that they use.
+
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use cumin_client::{Client, PlainCall};
+use cumin_config::Document;
+use cumin_standin::engine;
+use cumin_testbed::{Options, Testbed};
+use cumin_types::{Outcome, Place};
+use cumin_wire::cloud::{Instance, Kind, Market, State};
+use cumin_wire::completion::{Message, Request};
+use rustix::process::{Pid, Signal, kill_process};
+use uuid::Uuid;
+
+/// Demo key of an organisation in `examples/bakers.toml`.
+pub const KEY: &str = "demo-hamilton-ovens-1";
+/// Longest wait for anything that must happen.
+pub const LIMIT: Duration = Duration::from_secs(15);
+
+const DOCUMENT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/bakers.toml");
+const SECRET: &str = "process-test-secret-0123456789-0123456789";
+/// Starts of a node whose addresses were taken by another process in between.
+const STARTS: u32 = 5;
+
+/// A node process, which ends with this value.
+pub struct Process {
+    pub entry: SocketAddr,
+    pub peer: SocketAddr,
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("the process exists");
+    }
+
+    /// Kills the process as a crash of its instance would.
+    pub fn crash(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process can be waited for");
+    }
+
+    /// Waits for the end of the process.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a status") {
+                return status;
+            }
+            assert!(started.elapsed() < LIMIT, "{} did not end", self.name);
+            pause().await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Also ends a process that is stopped; one that ended already is only reported.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Stand-ins in this process, nodes in processes of their own.
+pub struct Cluster {
+    pub bed: Testbed,
+    pub nodes: Vec<Process>,
+    drain: Duration,
+    started: usize,
+    document: Document,
+    dir: PathBuf,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        // The logs of the nodes explain a failure.
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+impl Cluster {
+    /// Starts four nodes, with this time from one token to the next.
+    pub async fn start(token_delay: Duration, drain: Duration) -> Self {
+        let document = fs::read_to_string(DOCUMENT).expect("the example exists");
+        let document = Document::parse(&document).expect("the example is valid");
+        let options = Options {
+            nodes: 0,
+            engine: engine::Options {
+                token_delay,
+                ..engine::Options::default()
+            },
+            ..Options::default()
+        };
+        let bed = Testbed::start(document.clone(), options).await;
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(Uuid::now_v7().to_string());
+        fs::create_dir_all(&dir).expect("a directory for the nodes");
+        let mut cluster = Self {
+            bed: bed.expect("the stand-ins start"),
+            nodes: Vec::new(),
+            drain,
+            started: 0,
+            document,
+            dir,
+        };
+        cluster.fill().await;
+        cluster
+    }
+
+    /// Starts nodes until there are four, and waits until each knows all and can serve.
+    pub async fn fill(&mut self) {
+        while self.nodes.len() < 4 {
+            let node = self.spawn().await;
+            self.nodes.push(node);
+        }
+        for node in &self.nodes {
+            let client = self.caller(&[node.entry]);
+            until("a node that knows all nodes", async || {
+                client.refresh().await && client.entries().len() == self.nodes.len()
+            })
+            .await;
+            until("a node that knows a plain service", async || {
+                let answer = client.call_once(&lookup()).await;
+                answer.is_ok_and(|answer| answer.status == 200)
+            })
+            .await;
+            until("a node that knows an engine", async || {
+                client.chat(&chat("warm up", 1)).await.is_ok()
+            })
+            .await;
+        }
+    }
+
+    async fn spawn(&mut self) -> Process {
+        for _ in 0..STARTS {
+            if let Some(node) = self.try_spawn().await {
+                return node;
+            }
+        }
+        panic!("no node could bind its addresses in {STARTS} starts");
+    }
+
+    /// Starts a node; nothing when its addresses were taken in between.
+    async fn try_spawn(&mut self) -> Option<Process> {
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
+        let places: Vec<_> = self.document.places.keys().cloned().collect();
+        let place = &places[self.started % places.len()];
+        let region = self.document.places[place].region.clone();
+        let (entry, peer) = free_addresses();
+        let seeds: Vec<_> = self
+            .nodes
+            .iter()
+            .map(|node| node.peer.to_string())
+            .collect();
+        let settings = format!(
+            "name = {name:?}\nplace = {:?}\nregion = {:?}\nenvironment = {:?}\n\
+             listen = \"{entry}\"\npeer_listen = \"{peer}\"\nseeds = {seeds:?}\n\
+             log_address = \"{}\"\ncloud_address = \"{}\"\nsecret = {SECRET:?}\n\
+             drain_ms = {}\n",
+            place.as_str(),
+            region.as_str(),
+            self.document.environment.name,
+            self.bed.log.address(),
+            self.bed.cloud.address(),
+            self.drain.as_millis(),
+        );
+        let path = self.dir.join(format!("{name}.toml"));
+        fs::write(&path, settings).expect("the settings can be written");
+        let log = File::create(self.dir.join(format!("{name}.log"))).expect("a log file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cuminladder"))
+            .arg("--settings")
+            .arg(&path)
+            .args(["--document", DOCUMENT, "--log", "info"])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the binary starts");
+        let started = Instant::now();
+        while TcpStream::connect(entry).is_err() {
+            if let Some(status) = child.try_wait().expect("a status") {
+                assert_eq!(
+                    status.code(),
+                    Some(3),
+                    "{name} ended, see {}",
+                    path.display()
+                );
+                return None;
+            }
+            assert!(started.elapsed() < LIMIT, "{name} opened no socket");
+            pause().await;
+        }
+        self.bed.cloud.register(self.instance(&name, place, peer));
+        Some(Process {
+            entry,
+            peer,
+            name,
+            child,
+        })
+    }
+
+    fn instance(&self, name: &str, place: &Place, peer: SocketAddr) -> Instance {
+        Instance {
+            id: name.into(),
+            token: String::new(),
+            kind: Kind::Entry,
+            service: "entry".into(),
+            place: place.to_string(),
+            class: self.document.entry.class.to_string(),
+            market: Market::Reclaimable,
+            price: 0.0,
+            state: State::Live,
+            address: Some(peer.to_string()),
+        }
+    }
+
+    /// Returns the addresses of all nodes.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.entry).collect()
+    }
+
+    /// Returns a caller that knows these entries.
+    pub fn caller(&self, entries: &[SocketAddr]) -> Client {
+        Client::new(cumin_client::Options {
+            key: KEY.into(),
+            entries: entries.to_vec(),
+            patience: Duration::from_secs(3),
+            loopback: true,
+            ..cumin_client::Options::default()
+        })
+    }
+
+    /// Waits until the engines have generated `tokens` more than `before`, and returns the
+    /// number of a node that has a request in progress.
+    pub async fn streaming(&self, before: u64, tokens: u64) -> usize {
+        until("tokens of a stream", async || {
+            self.bed.engine_stats().generated >= before + tokens
+        })
+        .await;
+        for (number, node) in self.nodes.iter().enumerate() {
+            if running(node.entry).await > 0 {
+                return number;
+            }
+        }
+        panic!("no node has a request in progress");
+    }
+
+    /// Waits until `observer` lists `node` no longer.
+    pub async fn forgotten(&self, observer: usize, node: SocketAddr) {
+        let client = self.caller(&[self.nodes[observer].entry]);
+        until("the end of a node to be noticed", async || {
+            client.refresh().await && !client.entries().contains(&node)
+        })
+        .await;
+    }
+
+    /// Returns the calls that the plain services received.
+    pub fn service_calls(&self) -> u64 {
+        let services = self.bed.services.values();
+        services.map(|service| service.stats().calls).sum()
+    }
+
+    /// Returns the effects of a key.
+    pub fn effects(&self, call: &PlainCall) -> u64 {
+        self.bed.effects(&call.key.expect("a key").to_string())
+    }
+}
+
+fn free_addresses() -> (SocketAddr, SocketAddr) {
+    let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (entry, peer) = (bind(), bind());
+    let address = |socket: &TcpListener| socket.local_addr().expect("a bound socket");
+    (address(&entry), address(&peer))
+}
+
+/// Reads how many requests a node has in progress.
+async fn running(entry: SocketAddr) -> i64 {
+    let call = awc::Client::default().get(format!("http://{entry}/metrics"));
+    let mut answer = call.send().await.expect("metrics");
+    let body = answer.body().await.expect("metrics");
+    let text = String::from_utf8_lossy(&body);
+    let mut lines = text.lines();
+    let value = lines.find_map(|line| line.strip_prefix("cuminladder_requests_running "));
+    value
+        .and_then(|value| value.parse().ok())
+        .expect("the gauge of requests in progress")
+}
+
+/// Waits for one step of a poll.
+pub async fn pause() {
+    actix_rt::time::sleep(Duration::from_millis(10)).await;
+}
+
+/// Polls until `holds`.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let started = Instant::now();
+    while !holds().await {
+        assert!(started.elapsed() < LIMIT, "no {what} within {LIMIT:?}");
+        pause().await;
+    }
+}
+
+pub fn chat(prompt: &str, max_tokens: u64) -> Request {
+    Request {
+        model: "crumb-8b".into(),
+        messages: Some(vec![Message {
+            role: "user".into(),
+            content: prompt.into(),
+        }]),
+        stream: true,
+        max_tokens: Some(max_tokens),
+        ..Request::default()
+    }
+}
+
+/// Returns what the engines generate for `request`.
+pub fn expected(request: &Request) -> Vec<String> {
+    let tokens = request.max_tokens.unwrap_or(engine::DEFAULT_TOKENS);
+    engine::answer(&request.prompt_text(), tokens)
+}
+
+/// Makes a booking with a new key.
+pub fn booking() -> PlainCall {
+    PlainCall {
+        method: "POST".into(),
+        service: "oven-desk".into(),
+        path: "bookings".into(),
+        key: Some(Uuid::now_v7()),
+        body: r#"{"oven":"3","slot":"06:00"}"#.into(),
+    }
+}
+
+fn lookup() -> PlainCall {
+    PlainCall {
+        method: "GET".into(),
+        service: "oven-desk".into(),
+        path: "bookings".into(),
+        ..PlainCall::default()
+    }
+}
+
+/// Checks an answer to a call that another entry dispatched, or may have.
+pub fn assert_in_doubt_or_recorded(answer: &cumin_client::PlainAnswer) {
+    let known = matches!(answer.outcome, Some(Outcome::Unknown | Outcome::Done));
+    assert!(known, "a call that was dispatched was answered {answer:?}");
+}
--- /dev/null
+++ b/tests/all/cluster_loss.rs
@@ -0,0 +1,34 @@
+use std::time::Duration;
+
+use cumin_types::Outcome;
+
+use crate::cluster::{Cluster, booking};
+
+/// Guards against answers that only the memory of nodes holds: after the loss of all of them, a
+/// repeated call must get the answer that the log has.
+#[actix_rt::test]
+async fn replaced_nodes_repeat_recorded_answers() {
+    let mut cluster = Cluster::start(Duration::from_millis(1), Duration::from_secs(5)).await;
+    let mut recorded = Vec::new();
+    for number in 0..8 {
+        let entry = cluster.nodes[number % 4].entry;
+        let call = booking();
+        let answer = cluster.caller(&[entry]).call_once(&call).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.outcome, Some(Outcome::Done), "{answer:?}");
+        recorded.push((call, answer));
+    }
+    for node in &mut cluster.nodes {
+        node.crash();
+    }
+    cluster.nodes.clear();
+    cluster.fill().await;
+    for (number, (call, before)) in recorded.iter().enumerate() {
+        let entry = cluster.nodes[number % 4].entry;
+        let answer = cluster.caller(&[entry]).call_once(call).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.outcome, Some(Outcome::Done), "{answer:?}");
+        assert_eq!((answer.status, &answer.body), (before.status, &before.body));
+        assert_eq!(cluster.effects(call), 1);
+    }
+}
--- /dev/null
+++ b/tests/all/node_kill.rs
@@ -0,0 +1,26 @@
+use std::time::Duration;
+
+use cumin_types::Outcome;
+use futures_util::future::join;
+
+use crate::cluster::{Cluster, chat, expected};
+
+/// Guards against tokens lost, repeated or invented when the process that streams is killed
+/// without notice.
+#[actix_rt::test]
+async fn killed_node_loses_and_repeats_no_token() {
+    let mut cluster = Cluster::start(Duration::from_millis(5), Duration::from_secs(5)).await;
+    let request = chat("a review of the season", 400);
+    let client = cluster.caller(&cluster.entries());
+    let before = cluster.bed.engine_stats().generated;
+    let kill = async {
+        let owner = cluster.streaming(before, 60).await;
+        cluster.nodes[owner].crash();
+    };
+    let (streamed, ()) = join(client.chat(&request), kill).await;
+    let streamed = streamed.expect("the stream ends");
+    assert_eq!(streamed.tokens, expected(&request));
+    assert_eq!(streamed.outcome, Some(Outcome::Done));
+    assert!(streamed.resumes > 0, "the node was killed after the stream");
+    assert_eq!((streamed.repeated, streamed.skipped), (0, 0));
+}
