Require answers in the paused-claim test; make the caller a function

Cause: an entry that gave no answer at all passed the paused-claim test, and Clippy refuses a method that does not use its receiver. Change: both entries must answer; caller is a free function.

--- a/tests/all/booking_effects.rs
+++ b/tests/all/booking_effects.rs
@@ -4,7 +4,7 @@
 use futures_util::future::join;
 use rustix::process::Signal;
 
-use crate::cluster::{Cluster, assert_in_doubt_or_recorded, booking, until};
+use crate::cluster::{Cluster, assert_in_doubt_or_recorded, booking, caller, until};
 
 /// Guards against a second effect when the process that dispatched a call is killed before it
 /// recorded the outcome.
@@ -15,7 +15,7 @@
         service.fault(|faults| faults.slow = Duration::from_millis(500));
     }
     let call = booking();
-    let client = cluster.caller(&[cluster.nodes[0].entry]);
+    let client = caller(&[cluster.nodes[0].entry]);
     let before = cluster.service_calls();
     let kill = async {
         until("dispatch", async || cluster.service_calls() > before).await;
@@ -24,7 +24,7 @@
     let (answer, ()) = join(client.call_once(&call), kill).await;
     answer.expect_err("the entry was killed before the effect");
     for node in &cluster.nodes[1..] {
-        let answer = cluster.caller(&[node.entry]).call_once(&call).await;
+        let answer = caller(&[node.entry]).call_once(&call).await;
         assert_in_doubt_or_recorded(&answer.expect("an answer"));
     }
     until("effect", async || cluster.effects(&call) > 0).await;
@@ -44,7 +44,7 @@
         .fault(|faults| faults.late = Duration::from_secs(1));
     let call = booking();
     let before = cluster.bed.log.stats().appends;
-    let first = cluster.caller(&[cluster.nodes[0].entry]);
+    let first = caller(&[cluster.nodes[0].entry]);
     let pause = async {
         until("claim in the log", async || {
             cluster.bed.log.stats().appends > before
@@ -53,7 +53,7 @@
         cluster.nodes[0].signal(Signal::STOP);
         cluster.bed.log.fault(|faults| faults.late = Duration::ZERO);
         assert_eq!(cluster.effects(&call), 0, "stopped after the dispatch");
-        let second = cluster.caller(&[cluster.nodes[1].entry]);
+        let second = caller(&[cluster.nodes[1].entry]);
         let answer = second.call_once(&call).await;
         cluster.nodes[0].signal(Signal::CONT);
         answer
@@ -61,7 +61,9 @@
     let (woken, other) = join(first.call_once(&call), pause).await;
     let effects = cluster.effects(&call);
     assert!(effects <= 1, "{effects} effects: {woken:?}, {other:?}");
-    for answer in [woken, other].into_iter().flatten() {
+    let woken = woken.expect("the woken node answers");
+    let other = other.expect("the other entry answers");
+    for answer in [woken, other] {
         if answer.outcome == Some(Outcome::NotRun) {
             assert_eq!(effects, 0, "not run, but it was: {answer:?}");
         }
@@ -69,7 +71,7 @@
             assert_eq!(effects, 1, "done, but it was not: {answer:?}");
         }
     }
-    let third = cluster.caller(&[cluster.nodes[2].entry]);
+    let third = caller(&[cluster.nodes[2].entry]);
     let again = third.call_once(&call).await.expect("an answer");
     if effects == 1 {
         assert_in_doubt_or_recorded(&again);
--- a/tests/all/chat_streams.rs
+++ b/tests/all/chat_streams.rs
@@ -2,7 +2,7 @@
 
 use cumin_types::Outcome;
 
-use crate::cluster::{Cluster, chat, expected};
+use crate::cluster::{Cluster, caller, chat, expected};
 
 /// Guards against a binary that serves only inside the test process: settings, sockets between
 /// processes, and the second node in another process.
@@ -11,7 +11,7 @@
     let cluster = Cluster::start(Duration::from_millis(1), Duration::from_secs(5)).await;
     for node in &cluster.nodes {
         let request = chat("why is the crumb so close", 64);
-        let streamed = cluster.caller(&[node.entry]).chat(&request).await;
+        let streamed = caller(&[node.entry]).chat(&request).await;
         let streamed = streamed.expect("the stream ends");
         assert_eq!(streamed.tokens, expected(&request));
         assert_eq!(streamed.outcome, Some(Outcome::Done));
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -121,7 +121,7 @@
             self.nodes.push(node);
         }
         for node in &self.nodes {
-            let client = self.caller(&[node.entry]);
+            let client = caller(&[node.entry]);
             until("a node that knows all nodes", async || {
                 client.refresh().await && client.entries().len() == self.nodes.len()
             })
@@ -227,17 +227,6 @@
         self.nodes.iter().map(|node| node.entry).collect()
     }
 
-    /// Returns a caller that knows these entries.
-    pub fn caller(&self, entries: &[SocketAddr]) -> Client {
-        Client::new(cumin_client::Options {
-            key: KEY.into(),
-            entries: entries.to_vec(),
-            patience: Duration::from_secs(3),
-            loopback: true,
-            ..cumin_client::Options::default()
-        })
-    }
-
     /// Waits until the engines have generated `tokens` more than `before`, and returns the
     /// number of a node that has a request in progress.
     pub async fn streaming(&self, before: u64, tokens: u64) -> usize {
@@ -255,7 +244,7 @@
 
     /// Waits until `observer` lists `node` no longer.
     pub async fn forgotten(&self, observer: usize, node: SocketAddr) {
-        let client = self.caller(&[self.nodes[observer].entry]);
+        let client = caller(&[self.nodes[observer].entry]);
         until("the end of a node to be noticed", async || {
             client.refresh().await && !client.entries().contains(&node)
         })
@@ -274,6 +263,17 @@
     }
 }
 
+/// Returns a caller that knows these entries.
+pub fn caller(entries: &[SocketAddr]) -> Client {
+    Client::new(cumin_client::Options {
+        key: KEY.into(),
+        entries: entries.to_vec(),
+        patience: Duration::from_secs(3),
+        loopback: true,
+        ..cumin_client::Options::default()
+    })
+}
+
 fn free_addresses() -> (SocketAddr, SocketAddr) {
     let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
     let (entry, peer) = (bind(), bind());
--- a/tests/all/cluster_loss.rs
+++ b/tests/all/cluster_loss.rs
@@ -2,7 +2,7 @@
 
 use cumin_types::Outcome;
 
-use crate::cluster::{Cluster, booking};
+use crate::cluster::{Cluster, booking, caller};
 
 /// Guards against answers that only the memory of nodes holds: after the loss of all of them, a
 /// repeated call must get the answer that the log has.
@@ -13,7 +13,7 @@
     for number in 0..8 {
         let entry = cluster.nodes[number % 4].entry;
         let call = booking();
-        let answer = cluster.caller(&[entry]).call_once(&call).await;
+        let answer = caller(&[entry]).call_once(&call).await;
         let answer = answer.expect("an answer");
         assert_eq!(answer.outcome, Some(Outcome::Done), "{answer:?}");
         recorded.push((call, answer));
@@ -25,7 +25,7 @@
     cluster.fill().await;
     for (number, (call, before)) in recorded.iter().enumerate() {
         let entry = cluster.nodes[number % 4].entry;
-        let answer = cluster.caller(&[entry]).call_once(call).await;
+        let answer = caller(&[entry]).call_once(call).await;
         let answer = answer.expect("an answer");
         assert_eq!(answer.outcome, Some(Outcome::Done), "{answer:?}");
         assert_eq!((answer.status, &answer.body), (before.status, &before.body));
--- a/tests/all/node_kill.rs
+++ b/tests/all/node_kill.rs
@@ -3,7 +3,7 @@
 use cumin_types::Outcome;
 use futures_util::future::join;
 
-use crate::cluster::{Cluster, chat, expected};
+use crate::cluster::{Cluster, caller, chat, expected};
 
 /// Guards against tokens lost, repeated or invented when the process that streams is killed
 /// without notice.
@@ -11,7 +11,7 @@
 async fn killed_node_loses_and_repeats_no_token() {
     let mut cluster = Cluster::start(Duration::from_millis(5), Duration::from_secs(5)).await;
     let request = chat("a review of the season", 400);
-    let client = cluster.caller(&cluster.entries());
+    let client = caller(&cluster.entries());
     let before = cluster.bed.engine_stats().generated;
     let kill = async {
         let owner = cluster.streaming(before, 60).await;
--- a/tests/all/planned_stop.rs
+++ b/tests/all/planned_stop.rs
@@ -4,7 +4,7 @@
 use futures_util::future::{join, join_all};
 use rustix::process::Signal;
 
-use crate::cluster::{Cluster, chat, expected};
+use crate::cluster::{Cluster, caller, chat, expected};
 
 /// Streams six chats at one node, which gets SIGTERM meanwhile; returns the resumes of each.
 async fn terminate(drain: Duration) -> Vec<u32> {
@@ -12,7 +12,7 @@
     let requests: Vec<_> = (0..6)
         .map(|number| chat(&format!("check of starter {number}"), 300))
         .collect();
-    let client = cluster.caller(&[cluster.nodes[0].entry]);
+    let client = caller(&[cluster.nodes[0].entry]);
     let before = cluster.bed.engine_stats().generated;
     let stop = async {
         let owner = cluster.streaming(before, 200).await;
