Tell the start of a node process by its own log line

Cause: cluster_loss waited 15 s in vain: entry-1 could not bind, another test had taken its port, and the connection that was to prove the start succeeded to that other process. Change: a start is proved by event=started in the log of the node; the retry with new ports then works as meant. Conclusion: sigterm_lets_streams_end failed once before this change; its log was not kept, and the same race may be the cause, which is not proven.

--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -1,7 +1,7 @@
 //! Four node processes and the stand-ins that they use.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -174,7 +174,8 @@
         );
         let path = self.dir.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the settings can be written");
-        let log = File::create(self.dir.join(format!("{name}.log"))).expect("a log file");
+        let log_path = self.dir.join(format!("{name}.log"));
+        let log = File::create(&log_path).expect("a log file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_cuminladder"))
             .arg("--settings")
             .arg(&path)
@@ -185,7 +186,8 @@
             .spawn()
             .expect("the binary starts");
         let started = Instant::now();
-        while TcpStream::connect(entry).is_err() {
+        // A connection would also succeed to another process that took the address meanwhile.
+        while !fs::read_to_string(&log_path).is_ok_and(|log| log.contains("event=started")) {
             if let Some(status) = child.try_wait().expect("a status") {
                 assert_eq!(
                     status.code(),
