--- a/crates/cumin-request/src/holder.rs
+++ b/crates/cumin-request/src/holder.rs
@@ -149,6 +149,22 @@
             Some(old) if old.epoch > given.descriptor.epoch => {
                 return Err(Refused::Superseded { epoch: old.epoch });
             }
+            // Two takers of one epoch would mix two generations; the first to arrive goes on. A
+            // taker of a finished request must read the result instead of running it again.
+            Some(old)
+                if old.descriptor.owner != given.descriptor.owner
+                    && (old.epoch == given.descriptor.epoch || old.finish.is_some()) =>
+            {
+                return Err(Refused::Superseded { epoch: old.epoch });
+            }
+            // A take whose answer was lost can leave a node two copies of one epoch; the tokens
+            // that were here first stay.
+            Some(old)
+                if old.epoch == given.descriptor.epoch
+                    && !old.transcript.agrees(&given.transcript) =>
+            {
+                return Err(Refused::Superseded { epoch: old.epoch });
+            }
             // A late repeat must not take tokens back.
             Some(old) if old.finish.is_some() && given.finish.is_none() => return Ok(()),
             Some(old)
@@ -190,24 +206,35 @@
         if held.epoch > progress.epoch {
             return Ack::Superseded(held.epoch);
         }
-        let position = held.transcript.position();
-        if held.finish.is_some() {
-            return Ack::Stored(position);
+        // The tokens held are of an older owner, and may differ from those of the sender.
+        if held.epoch < progress.epoch {
+            return Ack::Missing;
         }
+        let position = held.transcript.position();
         if progress.from > position {
             return Ack::Resend(position);
         }
-        held.epoch = progress.epoch;
+        let sent = progress.from.plus(progress.tokens.len() as u64);
+        let same = held.transcript.since(progress.from).is_ok_and(|tokens| {
+            tokens
+                .zip(&progress.tokens)
+                .all(|(held, sent)| held == sent)
+        });
+        if !same || (progress.finish.is_some() && sent < position) {
+            return Ack::Superseded(held.epoch);
+        }
+        if held.finish.is_some() {
+            return Ack::Stored(position.min(sent));
+        }
         let known = usize::try_from(position.since(progress.from)).unwrap_or(usize::MAX);
         for token in progress.tokens.iter().skip(known) {
             held.transcript.push(token);
         }
-        let position = held.transcript.position();
         if progress.finish.is_some() {
             held.finish = progress.finish;
             self.retire(progress.id, now);
         }
-        Ack::Stored(position)
+        Ack::Stored(sent)
     }
 
     /// Returns a copy of a request, for a caller that reads its result.
