--- a/crates/cumin-admit/src/quota.rs
+++ b/crates/cumin-admit/src/quota.rs
@@ -65,9 +65,16 @@
         }
     }
 
-    /// Changes rate and depth; what was in the bucket stays, up to the new depth.
+    /// Changes rate and depth; the bucket stays as full as it was, and what it owes stays.
+    ///
+    /// Levels move with shares, so that their sum over all nodes stays below the burst of the
+    /// whole limit. A level that only the refill raises left a node that had just got its share
+    /// with the burst of the floor.
     pub fn set(&mut self, rate: f64, depth: f64, now: Millis) {
         self.fill(now);
+        if self.level > 0.0 && self.depth > 0.0 && self.depth.is_finite() && depth.is_finite() {
+            self.level *= depth / self.depth;
+        }
         self.rate = rate / 1000.0;
         self.depth = depth;
         self.level = self.level.min(depth);
