--- a/crates/cumin-core/src/demo/checks.rs
+++ b/crates/cumin-core/src/demo/checks.rs
@@ -155,6 +155,9 @@
     Ok(format!("{} tokens, none lost or twice", expected.len()))
 }
 
+/// The organisation of each chat: the small ones may send one a second through one entry.
+const CHATS: [usize; 12] = [0, 0, 0, 0, 0, 0, 1, 1, 1, 1, 2, 3];
+
 async fn chats(bed: &Testbed) -> Seen {
     for engine in bed.engines.values() {
         engine.fault(|faults| {
@@ -168,8 +171,8 @@
     let clients: Vec<_> = KEYS.iter().map(|key| bed.patient(key)).collect();
     let calls = requests
         .iter()
-        .enumerate()
-        .map(|(number, request)| clients[number % clients.len()].chat(request));
+        .zip(CHATS)
+        .map(|(request, org)| clients[org].chat(request));
     let answers = join_all(calls).await;
     for engine in bed.engines.values() {
         engine.fault(|faults| {
--- a/crates/cumin-testbed/src/lib.rs
+++ b/crates/cumin-testbed/src/lib.rs
@@ -332,7 +332,8 @@
         Client::new(cumin_client::Options {
             key: key.into(),
             entries: self.entries(),
-            patience: Duration::from_secs(3),
+            // A share that is at its floor refills in up to 10 s.
+            patience: Duration::from_secs(12),
             ..cumin_client::Options::default()
         })
     }
