Apply what the state machine test asks of the node

The fuzzing of cumin-request found five ways in which the node used it wrongly; the node now does what the test's model does: - an end that the second does not hold yet is not handed out (a caller was told not_run of a request that another node then ran); - a node that releases a request, or was superseded, keeps a copy of the tokens that callers may have seen; - a taker holds its copy at once and stops when a higher epoch is held; - a hold of a higher epoch stops an own run of a lower one; - the caller's position is checked before a take raises the epoch, and a look at the state moves nothing.

--- a/crates/cumin-node/src/caller/resume.rs
+++ b/crates/cumin-node/src/caller/resume.rs
@@ -12,6 +12,7 @@
 use super::completion::{result, streamed, whole};
 use super::reply::{self, Problem};
 use super::{stream, text};
+use crate::member::Member;
 use crate::node::Ctx;
 use crate::peer::PeerClient;
 use crate::request::{self, Command, Live};
@@ -26,6 +27,8 @@
 /// A request as this node can answer for it.
 enum Source {
     Running(Rc<Live>),
+    /// Another node runs it and has so many tokens.
+    Elsewhere(Position),
     Ended(Box<Given>),
 }
 
@@ -46,8 +49,19 @@
         .uri()
         .query()
         .is_some_and(|query| query.contains("wait=true"));
-    let source = locate(ctx, id, org).await?;
-    match source {
+    let reading = Reading {
+        from: from.unwrap_or_default(),
+        follow: accept || from.is_some() || wait,
+    };
+    match locate(ctx, id, org, reading).await? {
+        Source::Elsewhere(position) => {
+            let state = Running {
+                id: id.to_string(),
+                status: "running",
+                position,
+            };
+            Ok(reply::json(StatusCode::ACCEPTED, &state))
+        }
         Source::Ended(given) => ended(&given, from, accept),
         Source::Running(live) => {
             let completion = matches!(live.run.borrow().descriptor().call, Call::Completion { .. });
@@ -130,8 +144,23 @@
     })
 }
 
-/// Finds the request here or elsewhere; one that nobody runs is run here from now on.
-async fn locate(ctx: &Rc<Ctx>, id: RequestId, org: &Organisation) -> Result<Source, Problem> {
+/// How a caller wants to read a request.
+#[derive(Clone, Copy)]
+struct Reading {
+    /// The tokens that the caller has.
+    from: Position,
+    /// False when only the present state is asked for, which moves nothing.
+    follow: bool,
+}
+
+/// Finds the request here or elsewhere; one that is followed and not run here is run here from
+/// now on.
+async fn locate(
+    ctx: &Rc<Ctx>,
+    id: RequestId,
+    org: &Organisation,
+    reading: Reading,
+) -> Result<Source, Problem> {
     if let Some(live) = ctx.table.get(id).filter(|live| !live.superseded()) {
         let own = live.run.borrow().descriptor().org == *org;
         return if own {
@@ -149,8 +178,25 @@
     }
     let given = match held {
         Some(held) if held.finish.is_some() => held,
-        Some(held) => from_owner(ctx, id, held).await.ok_or_else(|| missing(id))?,
-        None => from_others(ctx, id, org).await.ok_or_else(|| missing(id))?,
+        Some(held) if !reading.follow => return Ok(Source::Elsewhere(held.transcript.position())),
+        // A copy with fewer tokens than the caller has is an old one.
+        Some(held) if held.transcript.position() >= reading.from => {
+            from_owner(ctx, id, held).await.ok_or_else(|| missing(id))?
+        }
+        _ => {
+            let (member, found) = request::find(ctx, id)
+                .await
+                .filter(|(_, found)| found.org == *org)
+                .ok_or_else(|| missing(id))?;
+            if !found.done && !reading.follow {
+                return Ok(Source::Elsewhere(found.position));
+            }
+            // Checked before the take, which raises the epoch.
+            if found.position < reading.from {
+                return Err(gap(id, reading.from, found.position));
+            }
+            from(ctx, id, &member).await.ok_or_else(|| missing(id))?
+        }
     };
     if given.finish.is_some() {
         return Ok(Source::Ended(Box::new(given)));
@@ -175,12 +221,8 @@
     ctx.holder.borrow_mut().take(id, me, ctx.clock.now())
 }
 
-/// Takes a request from the node that has most of it.
-async fn from_others(ctx: &Rc<Ctx>, id: RequestId, org: &Organisation) -> Option<Given> {
-    let (member, found) = request::find(ctx, id).await?;
-    if found.org != *org {
-        return None;
-    }
+/// Takes a request from another node.
+async fn from(ctx: &Ctx, id: RequestId, member: &Member) -> Option<Given> {
     let client = ctx.client.to(member.rpc).ok()?;
     client.take(id, ctx.settings.name.clone()).await.ok()?
 }
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -350,6 +350,12 @@
                 });
             }
             Call::Hold(given, reply) => {
+                let epoch = given.descriptor.epoch;
+                if let Some(live) = ctx.table.get(given.descriptor.id)
+                    && live.run.borrow().descriptor().epoch < epoch
+                {
+                    live.supersede();
+                }
                 let _ = reply.send(ctx.holder.borrow_mut().hold(*given, now));
             }
             Call::Progress(batch, reply) => {
--- a/crates/cumin-node/src/request/replica.rs
+++ b/crates/cumin-node/src/request/replica.rs
@@ -12,6 +12,7 @@
 use cumin_types::{NodeName, RequestId};
 
 use super::Live;
+use super::takeover::keep_seen;
 use crate::member::Member;
 use crate::node::Ctx;
 use crate::peer::PeerClient;
@@ -140,7 +141,7 @@
         Ack::Superseded(epoch) => {
             let reasons = format!("by={} epoch={epoch}", lane.to.name);
             ctx.decisions.note("superseded", &live.id, &reasons);
-            live.supersede();
+            supersede(ctx, live);
         }
         Ack::Resend(_) | Ack::Missing => replace(ctx, live, &lane.to, "lost").await,
     }
@@ -158,12 +159,18 @@
         {
             let reasons = format!("by={} epoch={epoch}", second.name);
             ctx.decisions.note("superseded", &live.id, &reasons);
-            live.supersede();
+            supersede(ctx, live);
         }
     }
     !live.superseded()
 }
 
+/// Stops a request that another node has taken over.
+fn supersede(ctx: &Ctx, live: &Live) {
+    live.supersede();
+    keep_seen(ctx, live);
+}
+
 /// Finds a new second after `old` failed to hold the request.
 async fn replace(ctx: &Rc<Ctx>, live: &Live, old: &Member, why: &str) {
     // A node that lost the request, as after a restart, can hold it again.
@@ -182,6 +189,9 @@
         .filter(|member| Some(&member.name) != avoid)
         .take(SECOND_TRIES);
     for member in tried {
+        if live.superseded() {
+            return;
+        }
         let given = live.given(ctx.clock.now());
         let (held, sealed) = (given.transcript.position(), given.finish.is_some());
         let answer = match ctx.client.to(member.rpc) {
--- a/crates/cumin-node/src/request/takeover.rs
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cumin_request::Given;
-use cumin_types::{Call, RequestId};
+use cumin_request::{Given, Refused, Transcript};
+use cumin_types::{Call, Epoch, Millis, NodeName, Position, RequestId};
 use futures_util::future::join_all;
 
 use super::{Live, completion, plain, replica};
@@ -121,7 +121,16 @@
     ctx.decisions.note("take_over", &id, &reasons);
     let mut descriptor = given.descriptor;
     descriptor.owner = ctx.settings.name.clone();
-    let live = Live::new(descriptor, given.transcript, ctx.clock.now());
+    let now = ctx.clock.now();
+    let live = Live::new(descriptor, given.transcript, now);
+    // Held here at once: the giver's copy is of a lower epoch, and a second is yet to be found.
+    let held = ctx.holder.borrow_mut().hold(live.given(now), now);
+    if let Err(Refused::Superseded { epoch }) = held {
+        ctx.decisions
+            .note("superseded", &id, &format!("by=own_copy epoch={epoch}"));
+        live.supersede();
+        return live;
+    }
     // Callers may wait on this request from now on, before its second is found.
     ctx.table.insert(Rc::clone(&live));
     replica::place_second(ctx, &live, None).await;
@@ -129,23 +138,50 @@
     live
 }
 
-/// Stops running a request and returns it for another node, with a raised epoch.
-pub(crate) fn release(
-    ctx: &Rc<Ctx>,
-    id: RequestId,
-    taker: &cumin_types::NodeName,
-) -> Option<Given> {
-    let live = ctx.table.get(id)?;
-    let mut given = live.given(ctx.clock.now());
-    if given.finish.is_none() {
-        given.descriptor.epoch = cumin_types::Epoch(given.descriptor.epoch.0 + 1);
-        given.descriptor.owner = taker.clone();
-        ctx.decisions.note("release", &id, &format!("to={taker}"));
-        live.supersede();
+/// Stops running a request and returns it for another node, with a raised epoch; none when this
+/// node does not run it any more.
+///
+/// An end that the second node does not hold yet is left out: no caller was told of it, and a
+/// second that goes on without it would answer otherwise. This node keeps a copy, so that an
+/// answer that is lost on its way loses no tokens.
+pub(crate) fn release(ctx: &Rc<Ctx>, id: RequestId, taker: &NodeName) -> Option<Given> {
+    let live = ctx.table.get(id).filter(|live| !live.superseded())?;
+    let now = ctx.clock.now();
+    let mut given = live.given(now);
+    if live.sealed().is_some() {
+        return Some(given);
     }
+    given.finish = None;
+    given.descriptor.epoch = Epoch(given.descriptor.epoch.0 + 1);
+    given.descriptor.owner = taker.clone();
+    ctx.decisions.note("release", &id, &format!("to={taker}"));
+    live.supersede();
+    keep(ctx, given.clone(), now);
     Some(given)
 }
 
+/// Keeps the tokens of a request that another node took over, as far as callers may have seen
+/// them: the new owner may end before it has a second.
+pub(super) fn keep_seen(ctx: &Ctx, live: &Live) {
+    let now = ctx.clock.now();
+    let mut given = live.given(now);
+    let seen = usize::try_from(live.acked().0).unwrap_or(usize::MAX);
+    let mut transcript = Transcript::default();
+    if let Ok(tokens) = given.transcript.since(Position(0)) {
+        tokens.take(seen).for_each(|token| transcript.push(token));
+    }
+    given.transcript = transcript;
+    given.finish = None;
+    keep(ctx, given, now);
+}
+
+fn keep(ctx: &Ctx, given: Given, now: Millis) {
+    let id = given.descriptor.id;
+    if let Err(error) = ctx.holder.borrow_mut().hold(given, now) {
+        log::debug!("event=copy_not_kept request={id} error={error:?}");
+    }
+}
+
 /// Hands the running requests over to their second nodes; their callers are told where to go on.
 pub(crate) async fn hand_over(ctx: &Rc<Ctx>) {
     let mut given: HashMap<SocketAddr, Vec<Given>> = HashMap::new();
--- a/crates/cumin-testbed/tests/all/main.rs
+++ b/crates/cumin-testbed/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod actions;
 mod configuration;
 mod overload;
+mod resumes;
 mod streams;
