--- a/crates/cumin-bench/src/workload.rs
+++ b/crates/cumin-bench/src/workload.rs
@@ -7,9 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Options;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Microseconds of simulated time.
 pub(crate) type Micros = u64;
--- a/crates/cumin-node/src/fleet/watch.rs
+++ b/crates/cumin-node/src/fleet/watch.rs
@@ -173,7 +173,6 @@
         return None;
     }
     let service = Service::from(instance.service.as_str());
-    let name_of = service.clone();
     let document = ctx.document();
     let spec = document.services.get(&service)?;
     let engine = spec.kind == ServiceKind::Model;
@@ -192,7 +191,7 @@
         market: instance.market,
         slots: u64::from(spec.worker.concurrent_requests),
         life: None,
-        service,
+        service: service.clone(),
     };
     let reasons = format!(
         "service={} place={} address={address} market={:?} price={}",
@@ -203,7 +202,7 @@
     ctx.fleet.router.borrow_mut().upsert(info);
     Some(Watched {
         address,
-        service: name_of.clone(),
+        service,
         engine,
         misses: 0,
         reading: Rc::default(),
--- a/crates/cumin-node/src/peer/rpc.rs
+++ b/crates/cumin-node/src/peer/rpc.rs
@@ -1,8 +1,5 @@
 //! The methods that nodes offer each other.
 
-use crate::config::Held;
-use crate::op::{Applied, Apply, Explained, Past, Report};
-use crate::record::Submission;
 use std::net::SocketAddr;
 
 use cumin_member::Message;
@@ -14,6 +11,10 @@
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 
+use crate::config::Held;
+use crate::op::{Applied, Apply, Explained, Past, Report};
+use crate::record::Submission;
+
 /// What a node knows of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Found {
--- a/crates/cumin-node/src/peer/server.rs
+++ b/crates/cumin-node/src/peer/server.rs
@@ -10,6 +10,7 @@
 use cumin_member::Message;
 use cumin_request::{Ack, Given, Progress, Refused};
 use cumin_retry::Quarantined;
+use cumin_state::recorder::Verdict;
 use cumin_types::{NodeName, RequestId};
 use futures_util::FutureExt;
 use jsonrpsee::RpcModule;
@@ -23,7 +24,6 @@
 use crate::config::Held;
 use crate::op::{Applied, Apply, Explained, Op, Past, Report};
 use crate::record::Submission;
-use cumin_state::recorder::Verdict;
 
 /// Largest body between nodes, bytes: one request with its answer, or a batch of progress.
 const MAX_BODY: usize = 64 << 20;
