Pass a completion's body on as the caller sent it

Messages were read into a type and written again, so `name`, `tool_calls` and any other field of a message was lost, and content sent as a list of parts or as null was refused, which common clients send. The body now goes to the engine with only `stream` and `resume` set.

--- a/crates/cumin-node/src/caller/completion.rs
+++ b/crates/cumin-node/src/caller/completion.rs
@@ -13,6 +13,7 @@
 };
 use cumin_wire::completion::{self as wire, Answer, AnswerChoice, Message, Usage};
 use cumin_wire::header;
+use serde_json::{Map, Value};
 
 use super::reply::{self, Problem};
 use super::{BodyError, read_body, stream, text};
@@ -31,7 +32,7 @@
     let bytes = read_body(&mut request, limit)
         .await
         .map_err(|error| refuse(error, limit))?;
-    let body = parse(&bytes, chat)?;
+    let (body, sent) = parse(&bytes, chat)?;
     let model = Model::from(body.model.as_str());
     let default = if body.stream {
         Priority::Live
@@ -56,7 +57,7 @@
             chat,
             stream,
         },
-        body: reply::to_json(&body),
+        body: sent,
         priority,
         left,
         epoch: Epoch(0),
@@ -80,8 +81,9 @@
     }
 }
 
-fn parse(bytes: &[u8], chat: bool) -> Result<wire::Request, Problem> {
-    let mut body: wire::Request = serde_json::from_slice(bytes).map_err(|error| {
+/// Checks a body; returns what we read of it and its text without fields that are ours.
+fn parse(bytes: &[u8], chat: bool) -> Result<(wire::Request, String), Problem> {
+    let body: wire::Request = serde_json::from_slice(bytes).map_err(|error| {
         Problem::invalid(format!("the body is not a completion request: {error}"))
     })?;
     if body.model.is_empty() {
@@ -98,9 +100,11 @@
             "`max_tokens` is 0; at least 1 is accepted",
         ));
     }
+    let mut fields: Map<String, Value> = serde_json::from_slice(bytes)
+        .map_err(|error| Problem::invalid(format!("the body is not an object: {error}")))?;
     // Only this system resumes answers; a caller resumes by request id.
-    body.resume = None;
-    Ok(body)
+    fields.remove("resume");
+    Ok((body, reply::to_json(&fields)))
 }
 
 /// Admits a request, has it held by a second node and starts it.
--- a/crates/cumin-node/src/request/engine.rs
+++ b/crates/cumin-node/src/request/engine.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use cumin_request::{Broke, Counts, Transcript};
 use cumin_types::{AttemptId, Descriptor, Millis, Position};
-use cumin_wire::completion::{Chunk, Request, Resume};
+use cumin_wire::completion::{Chunk, Resume};
 use cumin_wire::{header, sse};
 use futures_util::{Stream, StreamExt};
+use serde_json::{Map, Value};
 
 use crate::http;
 
@@ -49,17 +50,20 @@
 
 /// Sends the request; the engine goes on after the tokens in the transcript.
 pub(crate) async fn open(options: Options<'_>) -> Result<Events, Broke> {
-    // The caller's body was parsed before it was accepted.
-    let mut body: Request = serde_json::from_str(&options.descriptor.body)
+    // The caller's body was parsed before it was accepted; it goes on as it came but for these
+    // two fields, since engines know options that we do not.
+    let mut body: Map<String, Value> = serde_json::from_str(&options.descriptor.body)
         .map_err(|_| Broke::Rejected { status: 400 })?;
-    body.stream = true;
+    body.insert("stream".into(), true.into());
     let from = options.transcript.position();
     if from > Position(0) {
         let text = options.transcript.text().to_owned();
-        body.resume = Some(Resume {
+        let resume = Resume {
             text,
             position: from.0,
-        });
+        };
+        let resume = serde_json::to_value(resume).map_err(|_| Broke::Rejected { status: 400 })?;
+        body.insert("resume".into(), resume);
     }
     let path = if options.chat {
         "chat/completions"
--- a/crates/cumin-testbed/tests/all/resumes.rs
+++ b/crates/cumin-testbed/tests/all/resumes.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cumin_standin::engine;
 use cumin_testbed::{Options, Testbed};
 
 use crate::support::{KEY, OTHER, chat, testbed};
@@ -33,6 +34,35 @@
     (status, String::from_utf8_lossy(&body).into_owned())
 }
 
+/// Guards against clients that send content as parts, or fields that we do not know.
+#[actix_rt::test]
+async fn content_parts_accepted() {
+    let bed = testbed(Options::default()).await;
+    let entry = bed.entry(0).expect("a node");
+    let parts = serde_json::json!({
+        "model": "crumb-8b",
+        "max_tokens": 5,
+        "temperature": 0.2,
+        "messages": [
+            {"role": "assistant", "content": null, "tool_calls": []},
+            {"role": "user", "name": "ana", "content": [
+                {"type": "text", "text": "is it "},
+                {"type": "text", "text": "done"},
+            ]},
+        ],
+    });
+    let mut answer = awc::Client::new()
+        .post(format!("http://{entry}/v1/chat/completions"))
+        .insert_header(("authorization", format!("Bearer {KEY}")))
+        .send_json(&parts)
+        .await
+        .expect("an answer");
+    let body: serde_json::Value = answer.json().await.expect("JSON");
+    let expected = engine::answer("assistant: \nuser: is it done\n", 5).concat();
+    assert_eq!(body["choices"][0]["message"]["content"], expected, "{body}");
+    assert_eq!(body["usage"]["completion_tokens"], 5);
+}
+
 /// Guards against a look at a request's state that moves it to the node that was asked.
 #[actix_rt::test]
 async fn state_moves_nothing() {
--- a/crates/cumin-wire/src/completion.rs
+++ b/crates/cumin-wire/src/completion.rs
@@ -1,7 +1,7 @@
 //! The completion protocol that language-model clients speak.
 
 use cumin_types::Outcome;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::{Map, Value};
 
 /// Body of `/v1/chat/completions` and `/v1/completions`.
@@ -34,10 +34,34 @@
 pub struct Message {
     /// `system`, `user` or `assistant`.
     pub role: String,
-    /// Text of the message.
+    /// Text of the message; of a list of parts, the text of those that have one.
+    #[serde(default, deserialize_with = "content")]
     pub content: String,
 }
 
+/// Content as clients send it.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+    Absent(()),
+}
+
+#[derive(Deserialize)]
+struct Part {
+    #[serde(default)]
+    text: String,
+}
+
+fn content<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
+    Ok(match Content::deserialize(deserializer)? {
+        Content::Text(text) => text,
+        Content::Parts(parts) => parts.into_iter().map(|part| part.text).collect(),
+        Content::Absent(()) => String::new(),
+    })
+}
+
 /// Where an engine goes on with an answer that another one began.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resume {
