--- a/crates/cumin-core/src/load/relay.rs
+++ b/crates/cumin-core/src/load/relay.rs
@@ -240,7 +240,7 @@
     })
 }
 
-/// The demo's document, with quotas that don't limit the measurement.
+/// The demo's document, with quotas and capacities that don't limit the measurement.
 fn document() -> Result<Document, String> {
     let mut document = Document::parse(demo::DOCUMENT).map_err(|error| error.to_string())?;
     let open = Quota {
@@ -252,6 +252,10 @@
         organisation.quota = open;
     }
     document.limits = open;
+    // Admission would queue all but a few of the streams at one engine.
+    for service in document.services.values_mut() {
+        service.worker.concurrent_requests = 10_000;
+    }
     Ok(document)
 }
 
