Share the options of history, status and drain

The three commands had the same options and the same reading of them, line for line. They stand once in operate.rs now; the commands' own interfaces are unchanged.

--- a/crates/cumin-core/src/drain.rs
+++ b/crates/cumin-core/src/drain.rs
@@ -4,10 +4,11 @@
 
 use cumin_types::NodeName;
 
-use crate::args::Args;
 use crate::ctl::Failure;
-use crate::operate::{Error, Target};
-use crate::{Status, Terminal, UsageError};
+use crate::operate::Error;
+use crate::{Status, Terminal};
+
+pub use crate::operate::Options;
 
 pub(crate) const HELP: &str = "\
 Has the node at --node finish or hand over its requests and stop, as a reclaim notice does.
@@ -20,25 +21,6 @@
 
 exit status: 0 done, 2 bad usage or input, 3 the node could not be reached";
 
-/// What to call.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Where.
-    pub target: Target,
-    /// True to print JSON.
-    pub json: bool,
-}
-
-impl Options {
-    fn read(args: Vec<OsString>) -> Result<Self, UsageError> {
-        let mut args = Args::new(args, &["--node", "--secret-file", "--json", "--help"])?;
-        let target = Target::read(&mut args)?;
-        let json = args.flag("--json");
-        args.done()?;
-        Ok(Self { target, json })
-    }
-}
-
 /// The node that drains.
 pub type Outcome = NodeName;
 
--- a/crates/cumin-core/src/operate.rs
+++ b/crates/cumin-core/src/operate.rs
@@ -1,5 +1,6 @@
 //! What the commands that call a running node share: the flags that name it, and tables.
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -52,6 +53,25 @@
     }
 }
 
+/// Options of the calls that take no argument of their own.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where.
+    pub target: Target,
+    /// True to print JSON.
+    pub json: bool,
+}
+
+impl Options {
+    pub(crate) fn read(args: Vec<OsString>) -> Result<Self, UsageError> {
+        let mut args = Args::new(args, &["--node", "--secret-file", "--json", "--help"])?;
+        let target = Target::read(&mut args)?;
+        let json = args.flag("--json");
+        args.done()?;
+        Ok(Self { target, json })
+    }
+}
+
 /// A call that has no answer.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum Error {
