Have everyone who may take a request over agree before tokens are shown

Cause: owner and second of a request can each be taken over from at the same time. Change: who gives a request names the others that may take it over, and a taker has each of them hold its epoch, or known dead, before it places the request. A run whose second was lost no longer says not_run. The model's runs give up at their deadline, as the node's do. PROPTEST_RNG_SEED sets the seed.

--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -369,8 +369,12 @@
                 let _ = reply.send(found(&ctx, id));
             }
             Call::Take(id, taker, reply) => {
-                let given = request::release(&ctx, id, &taker)
-                    .or_else(|| ctx.holder.borrow_mut().take(id, &taker, now));
+                let held = || {
+                    let mut given = ctx.holder.borrow_mut().take(id, &taker, now)?;
+                    given.beside.push(ctx.settings.name.clone());
+                    Some(given)
+                };
+                let given = request::release(&ctx, id, &taker).or_else(held);
                 let _ = reply.send(given);
             }
             Call::Suspects(records, reply) => {
--- a/crates/cumin-node/src/request/live.rs
+++ b/crates/cumin-node/src/request/live.rs
@@ -7,7 +7,7 @@
 use cumin_admit::Ticket;
 use cumin_request::{Finish, Given, Run, Transcript};
 use cumin_types::{
-    Call, Descriptor, EndpointName, Fingerprint, Millis, Position, RequestId, TokenCount,
+    Call, Descriptor, EndpointName, Fingerprint, Millis, NodeName, Position, RequestId, TokenCount,
 };
 use tokio::sync::Notify;
 
@@ -42,6 +42,8 @@
     pub(crate) prompt: Prompt,
     ticket: RefCell<Option<Ticket>>,
     second: RefCell<Option<Member>>,
+    // Nodes that may take the request over as well, until they agree to this one.
+    beside: RefCell<Vec<NodeName>>,
     acked: Cell<Position>,
     sealed: Cell<bool>,
     superseded: Cell<bool>,
@@ -65,6 +67,7 @@
             run: RefCell::new(Run::new(descriptor, transcript)),
             ticket: RefCell::default(),
             second: RefCell::default(),
+            beside: RefCell::default(),
             acked: Cell::default(),
             sealed: Cell::default(),
             superseded: Cell::default(),
@@ -102,6 +105,7 @@
             descriptor,
             transcript: run.transcript().clone(),
             finish: run.finish().cloned(),
+            beside: self.others(),
         }
     }
 
@@ -129,6 +133,36 @@
         self.second.borrow().clone()
     }
 
+    /// Returns the position that the run has reached, and whether it ended.
+    pub(crate) fn reached(&self) -> (Position, bool) {
+        let run = self.run.borrow();
+        (run.transcript().position(), run.finish().is_some())
+    }
+
+    /// Returns the nodes that may take the request over besides this one.
+    fn others(&self) -> Vec<NodeName> {
+        let second = self.second().map(|second| second.name);
+        second
+            .into_iter()
+            .chain(self.beside.borrow().clone())
+            .collect()
+    }
+
+    /// Names the nodes that have to agree before a token is shown.
+    pub(crate) fn set_beside(&self, beside: Vec<NodeName>) {
+        *self.beside.borrow_mut() = beside;
+    }
+
+    /// Returns a node that has not agreed yet.
+    pub(crate) fn unsettled(&self) -> Option<NodeName> {
+        self.beside.borrow().first().cloned()
+    }
+
+    /// Records that a node agreed, or is dead.
+    pub(crate) fn agreed(&self, node: &NodeName) {
+        self.beside.borrow_mut().retain(|name| name != node);
+    }
+
     /// Names the node that now holds the request, with all tokens up to `acked`.
     pub(crate) fn set_second(&self, second: Option<Member>, acked: Position, sealed: bool) {
         *self.second.borrow_mut() = second;
--- a/crates/cumin-node/src/request/replica.rs
+++ b/crates/cumin-node/src/request/replica.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use cumin_request::{Ack, Progress};
-use cumin_types::{NodeName, RequestId};
+use cumin_types::{Millis, NodeName, RequestId};
 
 use super::Live;
 use super::takeover::keep_seen;
@@ -181,8 +181,77 @@
     }
 }
 
+/// What a node did with a request that it was asked to hold.
+enum Offer {
+    /// It holds the request.
+    Held,
+    /// Another node took the request over.
+    Superseded,
+    /// It does not hold the request.
+    Refused,
+    /// It may hold the request.
+    Unanswered,
+}
+
+/// Asks a node to be the second of a request.
+async fn offer(ctx: &Rc<Ctx>, live: &Live, member: &Member) -> Offer {
+    let given = live.given(ctx.clock.now());
+    let answer = match ctx.client.to(member.rpc) {
+        Ok(client) => client.hold(given).await,
+        Err(error) => Err(error),
+    };
+    match answer {
+        Ok(Ok(())) => Offer::Held,
+        Ok(Err(cumin_request::Refused::Superseded { epoch })) => {
+            let reasons = format!("by={} epoch={epoch}", member.name);
+            ctx.decisions.note("superseded", &live.id, &reasons);
+            live.supersede();
+            Offer::Superseded
+        }
+        Ok(Err(refused)) => {
+            log::warn!(
+                "event=second_refused node={} error={refused:?}",
+                member.name
+            );
+            Offer::Refused
+        }
+        Err(error) => {
+            log::warn!(
+                "event=second_unreachable node={} error={error:?}",
+                member.name
+            );
+            Offer::Unanswered
+        }
+    }
+}
+
+/// Pause between two questions to a node that does not answer; membership takes seconds to
+/// find it dead.
+const ASK_AGAIN: Millis = Millis(100);
+
+/// Has the request held by the nodes that may take it over as well: no token is shown before each
+/// of them agrees or is dead.
+pub(super) async fn agree(ctx: &Rc<Ctx>, live: &Live) {
+    while let Some(name) = live.unsettled() {
+        let Some(member) = ctx.members.named(&name) else {
+            live.agreed(&name);
+            continue;
+        };
+        match offer(ctx, live, &member).await {
+            Offer::Superseded => return,
+            // A node that has no room for the request does not hold it.
+            Offer::Held | Offer::Refused => live.agreed(&name),
+            Offer::Unanswered if ctx.clock.now() >= live.deadline => return,
+            Offer::Unanswered => actix_rt::time::sleep(ASK_AGAIN.duration()).await,
+        }
+    }
+}
+
 /// Has the request held by a second node, the first in its order that takes it.
 pub(crate) async fn place_second(ctx: &Rc<Ctx>, live: &Live, avoid: Option<&NodeName>) {
+    if live.second().is_some() {
+        live.run.borrow_mut().doubted();
+    }
     let order = ctx.members.order(live.id);
     let tried = order
         .iter()
@@ -192,40 +261,16 @@
         if live.superseded() {
             return;
         }
-        let given = live.given(ctx.clock.now());
-        let (held, sealed) = (given.transcript.position(), given.finish.is_some());
-        let answer = match ctx.client.to(member.rpc) {
-            Ok(client) => client.hold(given).await,
-            Err(error) => Err(error),
-        };
-        match answer {
-            Ok(Ok(())) => {
+        let (held, sealed) = live.reached();
+        match offer(ctx, live, member).await {
+            Offer::Held => {
                 let reasons = format!("node={} place={} held={held}", member.name, member.place);
                 ctx.decisions.note("second", &live.id, &reasons);
                 live.set_second(Some(member.clone()), held, sealed);
                 return;
             }
-            Ok(Err(cumin_request::Refused::Superseded { epoch })) => {
-                ctx.decisions.note(
-                    "superseded",
-                    &live.id,
-                    &format!("by={} epoch={epoch}", member.name),
-                );
-                live.supersede();
-                return;
-            }
-            Ok(Err(refused)) => {
-                log::warn!(
-                    "event=second_refused node={} error={refused:?}",
-                    member.name
-                );
-            }
-            Err(error) => {
-                log::warn!(
-                    "event=second_unreachable node={} error={error:?}",
-                    member.name
-                );
-            }
+            Offer::Superseded => return,
+            Offer::Refused | Offer::Unanswered => {}
         }
     }
     ctx.decisions.note(
@@ -234,9 +279,6 @@
         &format!("node=none candidates={}", order.len()),
     );
     ctx.metrics.unheld.inc();
-    let (position, sealed) = {
-        let run = live.run.borrow();
-        (run.transcript().position(), run.finish().is_some())
-    };
+    let (position, sealed) = live.reached();
     live.set_second(None, position, sealed);
 }
--- a/crates/cumin-node/src/request/takeover.rs
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -119,10 +119,13 @@
         given.descriptor.owner
     );
     ctx.decisions.note("take_over", &id, &reasons);
+    let mut beside = given.beside;
+    beside.retain(|name| *name != ctx.settings.name);
     let mut descriptor = given.descriptor;
     descriptor.owner = ctx.settings.name.clone();
     let now = ctx.clock.now();
     let live = Live::new(descriptor, given.transcript, now);
+    live.set_beside(beside);
     // Held here at once: the giver's copy is of a lower epoch, and a second is yet to be found.
     let held = ctx.holder.borrow_mut().hold(live.given(now), now);
     if let Err(Refused::Superseded { epoch }) = held {
@@ -133,6 +136,7 @@
     }
     // Callers may wait on this request from now on, before its second is found.
     ctx.table.insert(Rc::clone(&live));
+    replica::agree(ctx, &live).await;
     replica::place_second(ctx, &live, None).await;
     start(ctx, Rc::clone(&live));
     live
@@ -154,6 +158,7 @@
     given.finish = None;
     given.descriptor.epoch = Epoch(given.descriptor.epoch.0 + 1);
     given.descriptor.owner = taker.clone();
+    given.beside.push(ctx.settings.name.clone());
     ctx.decisions.note("release", &id, &format!("to={taker}"));
     live.supersede();
     keep(ctx, given.clone(), now);
--- a/crates/cumin-request/src/holder.rs
+++ b/crates/cumin-request/src/holder.rs
@@ -88,6 +88,9 @@
     pub transcript: Transcript,
     /// The end, when it was reached.
     pub finish: Option<Finish>,
+    /// Nodes that may take the request over as well: who gives it, and who holds it beside an
+    /// owner that gives it. A taker shows no token before each of them agrees or is dead.
+    pub beside: Vec<NodeName>,
 }
 
 #[derive(Clone, Debug)]
@@ -327,5 +330,6 @@
         descriptor,
         transcript: held.transcript.clone(),
         finish: held.finish.clone(),
+        beside: Vec::new(),
     }
 }
--- a/crates/cumin-request/src/run.rs
+++ b/crates/cumin-request/src/run.rs
@@ -16,6 +16,8 @@
     // Whether a byte of any attempt, or of any before the current one, can have reached an endpoint.
     reached: bool,
     before: bool,
+    // Whether this run holds the claim of its call, so that nobody else can have run it.
+    claimed: bool,
     finish: Option<Finish>,
 }
 
@@ -117,6 +119,7 @@
             dropped: Dropped::default(),
             reached,
             before: reached,
+            claimed: false,
             finish: None,
         }
     }
@@ -253,11 +256,33 @@
     ///
     /// After an attempt of this run it has no effect, because the grant says nothing about that.
     pub fn granted(&mut self) {
+        self.claimed = true;
         if self.tried.is_empty() {
             self.reached = false;
         }
     }
 
+    /// Records that the second node was lost, which may have run the request before.
+    ///
+    /// An end that said otherwise is corrected: no caller has it before a second holds it.
+    pub fn doubted(&mut self) {
+        if self.claimed {
+            return;
+        }
+        self.before = true;
+        self.reached = true;
+        let once = self.once();
+        if let Some(finish) = &mut self.finish
+            && finish.outcome == Outcome::NotRun
+        {
+            finish.outcome = if once {
+                Outcome::Unknown
+            } else {
+                Outcome::Failed
+            };
+        }
+    }
+
     /// Ends the request with an answer that was recorded before, of this call or an earlier one.
     pub fn settle(&mut self, finish: Finish) {
         self.attempt = None;
--- a/crates/cumin-request/tests/all/machine.rs
+++ b/crates/cumin-request/tests/all/machine.rs
@@ -146,9 +146,17 @@
     }
 }
 
+/// Returns `PROPTEST_RNG_SEED`, or a fixed seed, so that each run of CI plays the same cases.
+fn seed() -> RngSeed {
+    match Config::default().rng_seed {
+        RngSeed::Random => RngSeed::Fixed(1),
+        given @ RngSeed::Fixed(_) => given,
+    }
+}
+
 prop_state_machine! {
     #![proptest_config(Config {
-        rng_seed: RngSeed::Fixed(1),
+        rng_seed: seed(),
         failure_persistence: None,
         ..Config::default()
     })]
--- a/crates/cumin-request/tests/all/main.rs
+++ b/crates/cumin-request/tests/all/main.rs
@@ -7,6 +7,7 @@
 };
 use uuid::Uuid;
 
+mod epochs;
 mod holders;
 mod machine;
 mod runs;
@@ -68,6 +69,7 @@
         descriptor: descriptor(number, false, epoch, owner),
         transcript: transcript(tokens),
         finish: None,
+        beside: Vec::new(),
     }
 }
 
--- a/crates/cumin-request/tests/all/world.rs
+++ b/crates/cumin-request/tests/all/world.rs
@@ -6,7 +6,7 @@
     Ack, Body, Broke, Counts, Finish, Frame, Given, Holder, HolderOptions, Progress, Refused, Run,
     Transcript,
 };
-use cumin_types::{AttemptId, EndpointName, Epoch, Millis, Outcome, Position};
+use cumin_types::{AttemptId, EndpointName, Epoch, Millis, NodeName, Outcome, Position};
 
 use crate::machine::{Kind, Step};
 use crate::{attempt, descriptor, id, node};
@@ -20,6 +20,8 @@
 struct Live {
     run: Run,
     second: Option<usize>,
+    // Other nodes that may take the request over, until they agree to this owner.
+    beside: Vec<NodeName>,
     placed: bool,
     // Position at which this owner started.
     start: u64,
@@ -38,6 +40,7 @@
             serial,
             start: given.transcript.position().0,
             deadline: now.plus(given.descriptor.left.0),
+            beside: given.beside,
             run: Run::new(given.descriptor, given.transcript),
             second: None,
             placed: false,
@@ -55,9 +58,16 @@
             descriptor,
             transcript: self.run.transcript().clone(),
             finish: self.run.finish().cloned(),
+            beside: self.others(),
         }
     }
 
+    /// Nodes that may take the request over besides this one.
+    fn others(&self) -> Vec<NodeName> {
+        let second = self.second.map(node);
+        second.into_iter().chain(self.beside.clone()).collect()
+    }
+
     fn epoch(&self) -> Epoch {
         self.run.descriptor().epoch
     }
@@ -243,6 +253,7 @@
             descriptor: descriptor(call as u128, once(call), 0, at),
             transcript: Transcript::default(),
             finish: None,
+            beside: Vec::new(),
         };
         self.nodes[at]
             .lives
@@ -266,6 +277,10 @@
         if live.run.finish().is_some() || live.run.attempt().is_some() {
             return;
         }
+        if live.deadline <= self.now {
+            live.run.give_up("deadline");
+            return;
+        }
         if once(call) && !live.claimed {
             if std::mem::replace(claimed, true) {
                 // Only the author of a claim may dispatch the call.
@@ -472,6 +487,30 @@
         {
             return self.supersede(at, call);
         }
+        // Who else may take over has to agree, unless it is dead.
+        let beside = std::mem::take(&mut self.live(at, call).beside);
+        for (index, name) in beside.iter().enumerate() {
+            let other = (0..NODES).find(|other| node(*other) == *name);
+            let other = other.expect("a node");
+            let (down, paused) = (self.nodes[other].down, self.nodes[other].paused);
+            if down {
+                continue;
+            }
+            let answer = (!paused).then(|| self.nodes[other].holder.hold(given.clone(), now));
+            match answer.filter(|_| lost & (1 << other) == 0) {
+                Some(Err(Refused::Superseded { .. })) => return self.supersede(at, call),
+                Some(_) => {}
+                None => {
+                    self.live(at, call).beside = beside[index..].to_vec();
+                    return;
+                }
+            }
+        }
+        // A second that is replaced may have run the request.
+        if self.live(at, call).second.is_some() {
+            self.live(at, call).run.doubted();
+        }
+        let given = self.live(at, call).given(now);
         // The same order for every owner, as by rendezvous hashing.
         let order = (1..=NODES)
             .map(|step| (call + step) % NODES)
@@ -599,6 +638,7 @@
             .lives
             .get(&call)
             .map(|live| live.given(now));
+        let beside = given.as_ref().map(|given| given.beside.clone());
         if let Some(given) = given {
             if self.nodes[from].holder.hold(given, now).is_err() {
                 return;
@@ -608,9 +648,12 @@
         let taken = self.nodes[from]
             .holder
             .take(id(call as u128), &node(at), now);
-        let Some(given) = taken.filter(|_| !lost || from == at) else {
+        let Some(mut given) = taken.filter(|_| !lost || from == at) else {
             return;
         };
+        given.beside = beside.unwrap_or_default();
+        given.beside.push(node(from));
+        given.beside.retain(|name| *name != node(at));
         if given.finish.is_some() {
             let _ = self.nodes[at].holder.hold(given, now);
             return;
