Keep the engines of the start until the demand is known

Half of those that ran were given back before any request, and the mean of the demand started from zero, so that it showed a quarter of the truth for 5 s; what was ordered then had to boot while callers waited. Change: the number of engines at the start is kept until requests have been seen for 4 s, mostly as reclaimable ones; the mean is taken over the time since the first request.

--- a/crates/cumin-entry/src/place.rs
+++ b/crates/cumin-entry/src/place.rs
@@ -213,10 +213,38 @@
     /// Random draws made.
     draws: u64,
     sent: Vec<Sent>,
-    /// Engine time asked for by service, milliseconds, decayed.
-    asked: BTreeMap<Service, (f64, Millis)>,
+    /// Engine time asked for, by service.
+    asked: BTreeMap<Service, Asked>,
 }
 
+/// Engine time that requests ask for, as a mean that forgets.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// Milliseconds, decayed.
+    sum: f64,
+    /// When the sum was last brought up to date.
+    at: Millis,
+    /// When the first request came.
+    since: Millis,
+}
+
+impl Asked {
+    fn add(&mut self, work: f64, now: Millis) {
+        self.sum = self.sum * decay(self.at, now) + work;
+        self.at = now;
+    }
+
+    /// Engines kept busy. Soon after the first request, the mean is of the time since then.
+    fn rate(&self, now: Millis) -> f64 {
+        let seen = now.since(self.since).max(LEAST_DEMAND.0);
+        let weight = 1.0 - decay(Millis(0), Millis(seen));
+        self.sum * decay(self.at, now) / (DEMAND_SPAN_MS * weight)
+    }
+}
+
+/// Demand is taken over at least this time: that of a few requests.
+const LEAST_DEMAND: Millis = Millis(1000);
+
 /// Span over which the demand for engine time is measured.
 const DEMAND_SPAN_MS: f64 = 5000.0;
 
@@ -406,17 +434,22 @@
 
     /// Counts engine time that is asked for, also by a request that is refused.
     pub fn count(&mut self, service: &Service, work: f64, now: Millis) {
-        let (sum, at) = self.asked.entry(service.clone()).or_insert((0.0, now));
-        *sum = *sum * decay(*at, now) + work;
-        *at = now;
+        let first = Asked {
+            sum: 0.0,
+            at: now,
+            since: now,
+        };
+        let asked = self.asked.entry(service.clone()).or_insert(first);
+        asked.add(work, now);
     }
 
     /// Returns the engine time that a service's requests ask for, in engines kept busy.
     #[must_use]
     pub fn demand(&self, now: Millis) -> BTreeMap<Service, f64> {
-        let rate = |(sum, at): &(f64, Millis)| sum * decay(*at, now) / DEMAND_SPAN_MS;
         let asked = self.asked.iter();
-        asked.map(|(name, sum)| (name.clone(), rate(sum))).collect()
+        asked
+            .map(|(name, asked)| (name.clone(), asked.rate(now)))
+            .collect()
     }
 
     /// Returns the engine time of a request of which nothing is cached.
--- a/crates/cumin-entry/src/scale.rs
+++ b/crates/cumin-entry/src/scale.rs
@@ -6,6 +6,11 @@
 //! of the demand. Engines at list price are a small part of the demand, and whatever is missing
 //! as soon as reclaimable ones are told to go. Orders rise at once and fall only after the lower
 //! need has lasted.
+//!
+//! Load pattern: traffic that starts at its full rate after a quiet start of the nodes, with
+//! nothing cached. The engines that run at the start are what operators planned for, so their
+//! number is kept until requests have been seen for a while; reclaimable ones replace most of
+//! them before the traffic starts.
 
 use std::collections::BTreeMap;
 
@@ -22,7 +27,7 @@
     pub busy: f64,
     /// Engines beyond the demand.
     pub spare: f64,
-    /// Part of the engines at the start that is assumed to be needed before demand is known.
+    /// Part of the engines at the start that is taken to be needed before demand is known.
     pub start: f64,
     /// Part of the need that is always ordered at list price.
     pub base: f64,
@@ -35,7 +40,10 @@
     /// Time in which all endpoints are heard after a start. They start with the nodes, and
     /// write their first heartbeat within three seconds.
     pub listen: Millis,
-    /// Time without known demand after a start.
+    /// Time from the first requests until the demand is known: caches are full by then, and
+    /// callers that came back have been seen.
+    pub warm: Millis,
+    /// Time after a start in which requests are waited for.
     pub blind: Millis,
 }
 
@@ -44,13 +52,14 @@
         Self {
             busy: 0.7,
             spare: 1.0,
-            start: 0.5,
+            start: 1.0,
             base: 0.25,
             spot: 1.2,
             fall: Millis(4000),
             again: Millis(5000),
             listen: Millis(4500),
-            blind: Millis(16_000),
+            warm: Millis(4000),
+            blind: Millis(30_000),
         }
     }
 }
@@ -90,6 +99,8 @@
     started: Millis,
     /// Most engines seen while listening.
     first: u32,
+    /// When requests were first seen.
+    loaded: Option<Millis>,
     /// What was ordered last, and when.
     ordered: BTreeMap<Key, (u32, Millis)>,
     refused: BTreeMap<Key, Millis>,
@@ -106,6 +117,7 @@
             service,
             started: now,
             first: 0,
+            loaded: None,
             ordered: BTreeMap::new(),
             refused: BTreeMap::new(),
             need: Damped::default(),
@@ -123,13 +135,16 @@
         now: Millis,
     ) -> Vec<Order> {
         let working: Vec<&Endpoint> = endpoints.iter().copied().filter(|e| !e.draining).collect();
+        if busy > 0.0 {
+            self.loaded.get_or_insert(now);
+        }
         if now.since(self.started) < self.options.listen.0 {
             self.first = self.first.max(count(working.len()));
             return Vec::new();
         }
         let options = &self.options;
         let mut need = ceil(busy / options.busy + options.spare);
-        if now.since(self.started) < options.blind.0 {
+        if !self.known(now) {
             need = need.max(ceil(f64::from(self.first) * options.start));
         }
         let need = self.need.update(need, options.fall, now);
@@ -170,6 +185,15 @@
         orders
     }
 
+    /// Returns whether the demand says how many engines are needed.
+    fn known(&self, now: Millis) -> bool {
+        let options = &self.options;
+        match self.loaded {
+            Some(at) => now.since(at) >= options.warm.0,
+            None => now.since(self.started) >= options.blind.0,
+        }
+    }
+
     /// Returns the engines of one kind in each place, changing as few of the last order as
     /// possible.
     fn spread(
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod duty;
 mod fleet;
+mod place;
 mod quota;
 mod scale;
 mod stop;
--- a/crates/cumin-entry/tests/all/scale.rs
+++ b/crates/cumin-entry/tests/all/scale.rs
@@ -161,3 +161,20 @@
         assert!(here.count() <= 6);
     }
 }
+
+/// hackbrett-grown scale-1: half of the engines were given back before the traffic started at
+/// its full rate, and it took seconds until new ones had booted.
+#[test]
+fn full_at_start() {
+    let (mut platform, mut scaler) = (Platform::new(), scaler());
+    let start = platform.engines.len();
+    run(&mut platform, &mut scaler, 0.0, 0, 14);
+    assert!(platform.engines.len() >= start);
+    assert!(platform.count(false) < 5, "{}", platform.count(false));
+    for second in 14..18 {
+        platform.step(&mut scaler, 0.5, Millis(second * 1000));
+        assert!(platform.engines.len() >= start, "at {second} s");
+    }
+    run(&mut platform, &mut scaler, 0.5, 18, 40);
+    assert!(platform.engines.len() < start);
+}
