Count a crash once over all nodes, and clear a suspect everywhere

Look-ups with the same path, caller and body were under way from each of four nodes at an endpoint that crashed. Each node counted the crash, the sum passed three, and all nodes refused every such look-up for two minutes with a Retry-After of 60 s. A completion cleared only the counts of the node that saw it. Change: crashes are named by the endpoint and its start, digests state the crashes of a suspect and those that it is cleared of, and nodes take the union; the age at the author decides when a suspect lapses.

--- a/crates/cumin-entry/src/peer.rs
+++ b/crates/cumin-entry/src/peer.rs
@@ -13,6 +13,7 @@
 
 use crate::place::{PeerLoad, Sent};
 use crate::quota::Taken;
+use crate::suspects::Stated;
 use crate::usage::Windows;
 
 /// What one entry tells the others.
@@ -43,8 +44,8 @@
     pub usage: Windows,
     /// Units of quotas that it has taken in its life.
     pub taken: Taken,
-    /// Requests that it suspects of crashing endpoints, with the crashes of each.
-    pub suspects: Vec<(u64, u32)>,
+    /// Requests that it suspects of crashing endpoints.
+    pub suspects: Vec<Stated>,
     /// Token of the lease that it holds, and where the stream of leases ended then.
     pub lease: Option<(FencingToken, LogOffset)>,
     /// Engines that its requests keep busy, by service.
--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -113,7 +113,7 @@
     }
     let name = org.map_or("", |org| org.name.as_str());
     let print = Print::of(name, path, &inbound.body);
-    let crashes = node.suspects.borrow().crashes(print);
+    let crashes = node.suspects.borrow().crashes(print, now);
     if crashes >= CRASHES {
         let detail = format!("crashes={crashes} request={print:?}");
         return Err(Refusal::busy(LONGEST, "crashes_endpoints", detail));
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -53,6 +53,8 @@
 struct Flight<'a> {
     node: &'a Node,
     endpoint: EndpointName,
+    /// Start of the endpoint.
+    born: u64,
     id: FlightId,
     answered: bool,
 }
@@ -100,6 +102,7 @@
         let flight = Flight {
             node,
             endpoint: endpoint.name.clone(),
+            born: endpoint.born,
             id,
             answered: false,
         };
@@ -300,7 +303,7 @@
         if reply.begun && !self.route.kind.repeats() {
             let now = self.node.now();
             let mut suspects = self.node.suspects.borrow_mut();
-            suspects.broke(&flight.endpoint, self.print, now);
+            suspects.broke(&flight.endpoint, flight.born, self.print, now);
             return Tried::Answered(End::Cut, "cut_endpoint");
         }
         Tried::Broken
@@ -338,7 +341,7 @@
     for print in suspects.unreachable(endpoint, node.now()) {
         log::info!(
             "event=suspect endpoint={endpoint} request={print:?} crashes={}",
-            suspects.crashes(print)
+            suspects.crashes(print, node.now())
         );
     }
 }
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -116,7 +116,7 @@
         sent: placement.told(),
         usage: node.usage.borrow().own().clone(),
         taken: node.quotas.borrow().taken().clone(),
-        suspects: node.suspects.borrow().stated(),
+        suspects: node.suspects.borrow().stated(now),
         lease: node.lease.get(),
         busy: placement.demand(now).into_iter().collect(),
     }
@@ -188,9 +188,7 @@
     node.usage
         .borrow_mut()
         .merge(&digest.node, digest.life, &digest.usage);
-    node.suspects
-        .borrow_mut()
-        .peer(&digest.node, &digest.suspects);
+    node.suspects.borrow_mut().peer(&digest.suspects, now);
     node.quotas
         .borrow_mut()
         .peer(&digest.node, digest.life, &digest.taken, now);
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -209,7 +209,8 @@
             match tried {
                 Tried::Answered(end, outcome) => {
                     if outcome == "done" {
-                        self.node.suspects.borrow_mut().done(self.print);
+                        let now = self.node.now();
+                        self.node.suspects.borrow_mut().done(self.print, now);
                     }
                     return Ok((end, outcome));
                 }
@@ -224,7 +225,7 @@
                     ran = true;
                     let now = self.node.now();
                     let mut suspects = self.node.suspects.borrow_mut();
-                    suspects.broke(&endpoint.name, self.print, now);
+                    suspects.broke(&endpoint.name, endpoint.born, self.print, now);
                     if !self.route.kind.repeats() {
                         self.sends = self.sends.max(self.route.attempts);
                     }
