--- a/crates/cumin-core/src/entry.rs
+++ b/crates/cumin-core/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use cumin_entry::settings::Settings;
 use cumin_platform::boot::{self, BootError};
@@ -96,6 +97,10 @@
     }
 }
 
+/// Time for the last log lines of a process that ends: well within the 0.5 s that a stop keeps
+/// before the platform ends the process.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
 /// Checks the settings, then runs the entry until it is told to stop.
 ///
 /// # Errors
@@ -105,13 +110,16 @@
     if options.check {
         return Ok(());
     }
-    sink::start(options.log.as_deref().unwrap_or("info")).map_err(Error::Log)?;
+    let sink = sink::start(options.log.as_deref().unwrap_or("info")).map_err(Error::Log)?;
     let system = actix_rt::System::new();
-    system.block_on(async move {
+    let ended = system.block_on(async move {
         let platform = platform(&settings, options.settings.clone());
         let served = cumin_serve::run(settings, platform);
         served.await.map_err(Error::Start)
-    })
+    });
+    // A reader that takes nothing can't be told.
+    let _ = sink.close(LAST_LINES);
+    ended
 }
 
 fn platform(settings: &Settings, path: PathBuf) -> Platform {
