Read registrations less often among many nodes; order closer to the demand

And since the engines of the start are kept, more were ordered than the demand used. Change: the pause between two reads grows with the nodes, to 0.8 s and to a third of the bound on leaving endpoints. Orders plan 0.8 of an engine's time and 1.3 times the need as reclaimable engines; the demand counts after 2 s of requests.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -14,6 +14,23 @@
 /// seconds.
 pub const LAPSE_GRACE: Millis = Millis(2200);
 
+/// Pause between two reads of registrations for each node that reads them, so that the calls of
+/// all nodes together stay the same; with four nodes a change is known in a fifth of a second.
+const PAUSE_PER_NODE: u64 = 50;
+const PAUSE_LEAST: u64 = 200;
+const PAUSE_MOST: u64 = 800;
+
+/// Part of the time within which a leaving endpoint must get no more work that a pause may take.
+const DRAIN_PART: u64 = 3;
+
+/// Returns the pause between two reads of registrations, with `nodes` nodes that read them.
+/// Many changes at once then take few calls.
+#[must_use]
+pub fn read_pause(nodes: usize, drain: Millis) -> Millis {
+    let wanted = (PAUSE_PER_NODE * nodes as u64).clamp(PAUSE_LEAST, PAUSE_MOST);
+    Millis(wanted.min(drain.0 / DRAIN_PART))
+}
+
 /// One endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/cumin-entry/src/scale.rs
+++ b/crates/cumin-entry/src/scale.rs
@@ -50,15 +50,15 @@
 impl Default for ScaleOptions {
     fn default() -> Self {
         Self {
-            busy: 0.7,
+            busy: 0.8,
             spare: 1.0,
             start: 1.0,
             base: 0.25,
-            spot: 1.2,
+            spot: 1.3,
             fall: Millis(4000),
             again: Millis(5000),
             listen: Millis(4500),
-            warm: Millis(4000),
+            warm: Millis(2000),
             blind: Millis(30_000),
         }
     }
--- a/crates/cumin-entry/tests/all/fleet.rs
+++ b/crates/cumin-entry/tests/all/fleet.rs
@@ -1,6 +1,6 @@
 //! Registrations about an outage of the store.
 
-use cumin_entry::fleet::{Change, Fleet, LAPSE_GRACE};
+use cumin_entry::fleet::{Change, Fleet, LAPSE_GRACE, read_pause};
 use cumin_types::Millis;
 
 use crate::{endpoint, engines};
@@ -69,3 +69,17 @@
     let changes = fleet.replace(vec![endpoint("e2")], Millis(5));
     assert_eq!(changes, [Change::Gone("e1".into())]);
 }
+
+/// Grown sites: each of 26 nodes read the registrations as often as each of 4, so that calls to
+/// the store grew with the number of nodes.
+#[test]
+fn reads_stay_few() {
+    let drain = Millis(3000);
+    let calls = |nodes: usize| 1000 * nodes as u64 / read_pause(nodes, drain).0;
+    assert!(calls(4) <= 20, "{}", calls(4));
+    assert!(calls(16) <= 20, "{}", calls(16));
+    assert!(calls(37) <= 47, "{}", calls(37));
+    // The bound on leaving endpoints goes first.
+    assert!(read_pause(330, Millis(1200)) <= Millis(400));
+    assert!(read_pause(330, drain) <= Millis(1000));
+}
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use cumin_entry::border::{Page, Record, StoreError, Stream};
-use cumin_entry::fleet::Change;
+use cumin_entry::fleet::{Change, read_pause};
 use cumin_types::{LogOffset, Millis};
 
 use crate::metrics::StoreCall;
@@ -21,9 +21,6 @@
 /// the time within which a node that can reach the store again must follow it.
 const REGISTRY_WAIT: Millis = Millis(1800);
 
-/// Pause between two reads of registrations, so that many changes at once take few calls.
-const REGISTRY_PAUSE: Millis = Millis(200);
-
 /// Pause after a failed read; doubles up to the longest.
 const RETRY_FIRST: Millis = Millis(50);
 const RETRY_LONGEST: Millis = Millis(400);
@@ -56,7 +53,7 @@
     node: Rc<Node>,
     stream: Stream,
     wait: Millis,
-    pause: Millis,
+    pause: impl Fn(&Node) -> Millis,
     proof: impl Fn(&Node) -> &Cell<Proof>,
     mut take: impl FnMut(&Node, Page, bool),
 ) {
@@ -100,6 +97,7 @@
                 );
                 from = Some(page.end);
                 take(&node, page, listed);
+                let pause = pause(&node);
                 if pause > Millis(0) {
                     tokio::time::sleep(pause.duration()).await;
                 }
@@ -151,7 +149,7 @@
         node,
         Stream::Document,
         DOCUMENT_WAIT,
-        Millis(0),
+        |_| Millis(0),
         |node| &node.document,
         take,
     )
@@ -202,7 +200,10 @@
         node,
         Stream::Endpoints,
         REGISTRY_WAIT,
-        REGISTRY_PAUSE,
+        |node| {
+            let nodes = node.peers.borrow().live(node.now()).count() + 1;
+            read_pause(nodes, node.bounds.get().drain)
+        },
         |node| &node.registry,
         take,
     )
