--- a/crates/cumin-entry/tests/all/place.rs
+++ b/crates/cumin-entry/tests/all/place.rs
@@ -180,3 +180,69 @@
     placement.refused(&"e1".into(), Millis(100));
     assert!(place(&mut placement, &fleet, &need(500), Millis(150)).is_some());
 }
+
+/// umura-ovens-grown scale-1: some engines failed half of their requests while their health said
+/// nothing; each node saw too few of the failures to tell.
+#[test]
+fn failing_last() {
+    let fleet = fleet(30);
+    let bad = |name: &EndpointName| ["e3", "e7"].contains(&name.as_str());
+    let mut nodes: Vec<Placement> = (0..8)
+        .map(|node| {
+            let node = format!("n{node}");
+            Placement::new(PlaceOptions {
+                node,
+                ..PlaceOptions::default()
+            })
+        })
+        .collect();
+    let mut at_bad = [0, 0];
+    for step in 0..200 {
+        let now = Millis(step * 20);
+        for node in &mut nodes {
+            node.share(8);
+            let need = need(500);
+            let Choice::Use { endpoint, .. } = node.choose(&fleet, &engines(), &need, &[], now)
+            else {
+                panic!("all are idle");
+            };
+            let found = fleet.get(&endpoint).expect("it is there");
+            let flight = node.sent(found, &need, 300_000, 50.0, now);
+            node.ended(&endpoint, flight, true, now);
+            if bad(&endpoint) {
+                at_bad[usize::from(step >= 100)] += 1;
+                if step % 2 == 0 {
+                    node.failed(&endpoint, now);
+                }
+            }
+        }
+        if step % 10 == 0 {
+            let stated: Vec<_> = nodes.iter_mut().map(|node| node.own(now)).collect();
+            for (index, loads) in stated.iter().enumerate() {
+                for (other, node) in nodes.iter_mut().enumerate() {
+                    if other != index {
+                        node.peer(&format!("n{index}"), loads, &[], 300_000, now);
+                    }
+                }
+            }
+        }
+    }
+    // Two of 30 engines would get 53 of the 800 requests of the second half.
+    assert!(at_bad[1] < 27, "{at_bad:?}");
+    assert!(at_bad[0] > 0);
+}
+
+/// Failures that all endpoints of a service have alike leave none out.
+#[test]
+fn failures_alike() {
+    let fleet = fleet(2);
+    let mut placement = placement();
+    let mut used: BTreeMap<EndpointName, usize> = BTreeMap::new();
+    for step in 0..40 {
+        let now = Millis(step * 10);
+        let endpoint = place(&mut placement, &fleet, &need(500), now).expect("idle");
+        placement.failed(&endpoint, now);
+        *used.entry(endpoint).or_default() += 1;
+    }
+    assert!(used.values().all(|count| *count >= 10), "{used:?}");
+}
