Revert "Place less at endpoints that fail more than the others"

Not traced; faults that only callers of one place see, and lost answers that hit endpoints unevenly, would leave out endpoints that work for most callers.

--- a/crates/cumin-entry/src/place.rs
+++ b/crates/cumin-entry/src/place.rs
@@ -11,9 +11,6 @@
 //!   fewer the more nodes there are.
 //! * More work than the engines can take: a request whose first event would come after its goal
 //!   is refused at once, with the time after which the tokens ahead will have been read.
-//! * Some endpoints that fail part of their requests while they say that they are well: failures
-//!   of the last seconds are counted over all nodes, and an endpoint that has several times the
-//!   mean of its service comes last until they are forgotten.
 //! * An endpoint that swallows requests: one that has said nothing for longer than expected, with
 //!   requests unanswered, comes last.
 
@@ -119,8 +116,6 @@
     pub running: u32,
     /// Prompt tokens still to be read.
     pub unread: u32,
-    /// Requests that failed there in the last seconds.
-    pub failed: u32,
 }
 
 /// Parts that an endpoint is taken to hold, oldest first.
@@ -173,20 +168,8 @@
     out: Option<(Millis, u32)>,
     /// Mean time of a plain request, milliseconds.
     mean: Option<f64>,
-    /// When requests failed here, oldest first.
-    failures: VecDeque<Millis>,
 }
 
-/// Failures are counted for this long: a few requests reach each endpoint meanwhile, and one that
-/// is well again gets work soon.
-const FAILURE_SPAN: Millis = Millis(3000);
-
-/// An endpoint with fewer failures is not told from the others.
-const FEWEST_FAILURES: f64 = 3.0;
-
-/// Times the mean of its service that a failing endpoint's failures exceed.
-const FAILURE_RATIO: f64 = 3.0;
-
 /// What was decided for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -306,13 +289,10 @@
             .into_iter()
             .filter(|endpoint| resting || !self.resting(&endpoint.name, now))
             .collect();
-        let failures = self.usual_failures(&open, now);
         self.sample(&mut open, need);
         let scored = open.iter().map(|endpoint| {
             let (score, estimate, cached) = self.score(endpoint, need, now);
-            let failing = self.failures(endpoint, now) > failures;
-            let last = if failing { LAST_PENALTY_MS } else { 0.0 };
-            (score + last, estimate, cached, *endpoint)
+            (score, estimate, cached, *endpoint)
         });
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         let Some((_, estimate, cached, endpoint)) = best else {
@@ -359,26 +339,6 @@
         open.truncate(homes + random);
     }
 
-    /// Failures that an endpoint of a service must exceed to count as failing.
-    fn usual_failures(&self, open: &[&Endpoint], now: Millis) -> f64 {
-        let all = open.iter().map(|endpoint| self.failures(endpoint, now));
-        let mean = all.sum::<f64>() / tokens(open.len().max(1) as u64);
-        (mean * FAILURE_RATIO).max(FEWEST_FAILURES)
-    }
-
-    fn failures(&self, endpoint: &Endpoint, now: Millis) -> f64 {
-        let load = self.loads.get(&endpoint.name);
-        load.map_or(0.0, |load| load.failed(now))
-    }
-
-    /// Notes that a request failed at an endpoint.
-    pub fn failed(&mut self, endpoint: &EndpointName, now: Millis) {
-        if let Some(load) = self.loads.get_mut(endpoint) {
-            load.trim(now);
-            load.failures.push_back(now);
-        }
-    }
-
     fn resting(&self, name: &EndpointName, now: Millis) -> bool {
         let out = self.loads.get(name).and_then(|load| load.out);
         out.is_some_and(|(until, _)| now < until)
@@ -407,7 +367,7 @@
             (mean * rounds, mean * running / 100.0, 0)
         };
         let silent = if load.silent(options.silence, now) {
-            LAST_PENALTY_MS
+            SILENT_PENALTY_MS
         } else {
             0.0
         };
@@ -549,15 +509,11 @@
 
     /// Returns the load of this node's own requests, by endpoint.
     #[must_use]
-    pub fn own(&mut self, now: Millis) -> Vec<(EndpointName, PeerLoad)> {
-        let mut own = Vec::new();
-        for (name, load) in &mut self.loads {
-            load.trim(now);
-            if !load.flights.is_empty() || !load.failures.is_empty() {
-                own.push((name.clone(), load.stated()));
-            }
-        }
-        own
+    pub fn own(&self) -> Vec<(EndpointName, PeerLoad)> {
+        let stated = self.loads.iter().filter(|(_, l)| !l.flights.is_empty());
+        stated
+            .map(|(name, load)| (name.clone(), load.stated()))
+            .collect()
     }
 
     /// Returns the parts sent since the last call.
@@ -606,8 +562,8 @@
 /// Weight of a new measurement in a mean.
 const MEAN_WEIGHT: f64 = 0.05;
 
-/// Added to the score of an endpoint that is silent or failing, so that it comes last.
-const LAST_PENALTY_MS: f64 = 10_000.0;
+/// Added to the score of an endpoint that has gone silent, so that it comes last.
+const SILENT_PENALTY_MS: f64 = 10_000.0;
 
 impl Load {
     fn stated(&self) -> PeerLoad {
@@ -620,27 +576,9 @@
         PeerLoad {
             running: u32::try_from(self.flights.len()).unwrap_or(u32::MAX),
             unread: unread as u32,
-            failed: u32::try_from(self.failures.len()).unwrap_or(u32::MAX),
         }
     }
 
-    /// Forgets old failures.
-    fn trim(&mut self, now: Millis) {
-        let old = |at: &Millis| now.since(*at) > FAILURE_SPAN.0;
-        while self.failures.front().is_some_and(old) {
-            self.failures.pop_front();
-        }
-    }
-
-    /// Failures of all nodes in the last seconds.
-    fn failed(&self, now: Millis) -> f64 {
-        let recent = |at: &&Millis| now.since(**at) <= FAILURE_SPAN.0;
-        let own = tokens(self.failures.iter().filter(recent).count() as u64);
-        let peers = self.peers.values();
-        let fresh = peers.filter(|(_, at)| now.since(*at) < PEER_AGE.0);
-        own + fresh.map(|(load, _)| f64::from(load.failed)).sum::<f64>()
-    }
-
     /// Requests and unread tokens of all nodes.
     fn total(&self, now: Millis) -> (f64, f64) {
         let fresh = |at: Millis| now.since(at) < PEER_AGE.0;
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -188,9 +188,6 @@
         };
         flight.answered = true;
         let head = Box::new(answer.head.clone());
-        if head.status.is_server_error() {
-            node.placement.borrow_mut().failed(&endpoint, node.now());
-        }
         self.keep(&endpoint, answer, &marks);
         let again = self.route.kind.repeats() && head.status.is_server_error();
         if again && self.sends < self.route.attempts {
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -112,7 +112,7 @@
             .map(|table| table.document().revision)
             .unwrap_or_default(),
         wall: node.steady_wall(),
-        loads: placement.own(now),
+        loads: placement.own(),
         sent: placement.told(),
         usage: node.usage.borrow().own().clone(),
         taken: node.quotas.borrow().taken().clone(),
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -206,10 +206,6 @@
                     self.node.now().since(now)
                 );
             }
-            if matches!(tried, Tried::Broken | Tried::Answered(_, "cut_endpoint")) {
-                let mut placement = self.node.placement.borrow_mut();
-                placement.failed(&endpoint.name, self.node.now());
-            }
             match tried {
                 Tried::Answered(end, outcome) => {
                     if outcome == "done" {
