--- a/crates/cumin-node/src/request/takeover.rs
+++ b/crates/cumin-node/src/request/takeover.rs
@@ -200,7 +200,10 @@
             log::warn!("event=not_handed_over request={}", live.id);
             continue;
         };
-        if let Some(request) = release(ctx, live.id, &second.name) {
+        if let Some(mut request) = release(ctx, live.id, &second.name) {
+            // A node that stops takes nothing over, and would not answer for long.
+            let me = &ctx.settings.name;
+            request.beside.retain(|name| name != me);
             given.entry(second.rpc).or_default().push(request);
         }
     }
