Learn the engine model from answers

Cause: the performance model of engines held the figures of the first users' sheet.

Two lines are fitted by quantile regression, from times to first events and gaps between events; nodes state their fits and use the weighted median. The default values are a prior until 24 answers were seen. Retries, impossible times and other outliers do not move the model (tests). The fits follow the digest in its datagram, so older versions still read the digest.

--- a/crates/cumin-entry/src/engine.rs
+++ b/crates/cumin-entry/src/engine.rs
@@ -2,36 +2,34 @@
 //!
 //! An engine prefills prompts in chunks between the decode steps of running requests. A prompt
 //! therefore waits for all tokens queued before it, and each chunk takes a further decode step.
-
-use cumin_types::Millis;
+//! [`Learner`](crate::learn::Learner) replaces the default values by measured ones.
 
 /// Parameters of an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineModel {
-    /// Prompt tokens prefilled per millisecond, from the users' sheet.
+    /// Prompt tokens prefilled per millisecond.
     pub prefill_rate: f64,
-    /// Duration of a decode step without requests, from the users' sheet.
+    /// Duration of a decode step without requests.
     pub step_ms: f64,
-    /// Increase of a decode step for each running request, fitted to the gaps between events.
+    /// Increase of a decode step for each running request.
     pub request_ms: f64,
     /// Tokens of a prefill chunk; the default of common engines.
     pub chunk_tokens: f64,
     /// Time from the end of the prefill to the first event.
     pub first_ms: f64,
-    /// Engine time of one output token: the step of a usual batch of 12 requests, divided among
-    /// them.
-    pub token_ms: f64,
 }
 
+/// Requests among which a decode step is divided when its cost for one of them is estimated.
+const USUAL_BATCH: f64 = 12.0;
+
 impl Default for EngineModel {
     fn default() -> Self {
         Self {
-            prefill_rate: 36.7,
-            step_ms: 4.34,
-            request_ms: 0.15,
+            prefill_rate: 40.0,
+            step_ms: 4.0,
+            request_ms: 0.1,
             chunk_tokens: 4096.0,
-            first_ms: 25.0,
-            token_ms: 0.5,
+            first_ms: 20.0,
         }
     }
 }
@@ -42,26 +40,26 @@
     #[must_use]
     pub fn first_event_ms(&self, uncached: f64, ahead: f64, running: f64) -> f64 {
         let tokens = uncached + ahead;
+        self.first_ms + tokens / self.prefill_rate + self.step_time_ms(tokens, running)
+    }
+
+    /// Returns the time of the decode steps between the chunks of `tokens`, in milliseconds.
+    #[must_use]
+    pub fn step_time_ms(&self, tokens: f64, running: f64) -> f64 {
         let steps = (tokens / self.chunk_tokens).ceil().max(1.0);
-        self.first_ms
-            + tokens / self.prefill_rate
-            + steps * (self.step_ms + self.request_ms * running)
+        steps * (self.step_ms + self.request_ms * running)
     }
 
-    /// Returns the engine time of a request, in milliseconds.
+    /// Returns the engine time of one output token: the step of a usual batch, divided among its
+    /// requests.
     #[must_use]
-    pub fn work_ms(&self, uncached: f64, output: f64) -> f64 {
-        uncached / self.prefill_rate + output * self.token_ms
+    pub fn token_ms(&self) -> f64 {
+        self.step_ms / USUAL_BATCH + self.request_ms
     }
 
-    /// Returns the time to prefill `tokens`.
+    /// Returns the engine time of a request, in milliseconds.
     #[must_use]
-    pub fn prefill_time(&self, tokens: f64) -> Millis {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a cast from float saturates, and counts are not negative"
-        )]
-        Millis((tokens / self.prefill_rate) as u64)
+    pub fn work_ms(&self, uncached: f64, output: f64) -> f64 {
+        uncached / self.prefill_rate + output * self.token_ms()
     }
 }
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duty;
 pub mod engine;
 pub mod fleet;
+pub mod learn;
 pub mod peer;
 pub mod platform;
 pub mod quota;
--- a/crates/cumin-entry/src/peer.rs
+++ b/crates/cumin-entry/src/peer.rs
@@ -11,6 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::learn::Fit;
 use crate::quota::TakenUnits;
 use crate::selection::{NodeLoad, SentPart};
 use crate::suspects::StatedSuspect;
@@ -54,6 +55,14 @@
     pub busy: Vec<(Service, f64)>,
 }
 
+/// State that follows the digest in its datagram. An older version reads the digest without it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Extension {
+    /// Fits of the engines' models, by service.
+    pub fits: Vec<(Service, Fit)>,
+}
+
 /// Time after its last digest until an entry no longer counts as live: six digests.
 pub const LIVE_TIMEOUT: Millis = Millis(1500);
 
--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -21,6 +21,7 @@
 
 use crate::engine::EngineModel;
 use crate::fleet::{Endpoint, Fleet};
+use crate::learn::{Fit, LearnOptions, Learner, Queue};
 
 /// A part of a prompt, which other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,13 +48,15 @@
     pub time_left: Millis,
     /// Whether the request runs on a model engine.
     pub engine: bool,
+    /// Whether it was sent before: its time then says little of the engine.
+    pub retry: bool,
 }
 
 /// Settings of [`Selector`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct SelectorOptions {
-    /// Performance model of the engines.
-    pub model: EngineModel,
+    /// How the performance model of the engines is learned.
+    pub learn: LearnOptions,
     /// Place of this node.
     pub place: Place,
     /// Name of this node, which seeds the random samples.
@@ -80,7 +83,7 @@
 impl Default for SelectorOptions {
     fn default() -> Self {
         Self {
-            model: EngineModel::default(),
+            learn: LearnOptions::default(),
             place: Place::from("place"),
             node: "node".into(),
             remote_ms: 2.0,
@@ -104,9 +107,11 @@
     /// Uncached prompt tokens; zero once the answer has begun.
     prefill_tokens: f64,
     output: f64,
-    /// Whether the answer has begun.
-    begun: bool,
+    /// Time of the last event, once the answer has begun.
+    last_event: Option<Millis>,
     estimate_ms: f64,
+    /// What it found at the engine, unless its times are no sample.
+    queue: Option<Queue>,
 }
 
 /// Load that one node puts on an endpoint.
@@ -220,6 +225,12 @@
     sent_parts: Vec<SentPart>,
     /// Demand for engine time, by service.
     demand: BTreeMap<Service, Demand>,
+    /// Models of the engines, by service.
+    learners: BTreeMap<Service, Learner>,
+    /// Model of a service of which nothing was heard.
+    prior: EngineModel,
+    /// Gaps between events that were seen.
+    gaps_seen: u32,
 }
 
 /// Demand for engine time, as an exponentially decayed mean.
@@ -258,14 +269,20 @@
 /// Time for which the load stated by a peer counts: four of its digests.
 const PEER_LOAD_TTL: Millis = Millis(1000);
 
+/// One gap between events in this many is a sample; consecutive ones say the same.
+const GAPS_PER_SAMPLE: u32 = 8;
+
 /// Maximum number of parts that wait for the next digest.
 const MAX_SENT_PARTS: usize = 64;
 
 impl Selector {
     /// Creates a selector that knows of no load.
     #[must_use]
-    pub const fn new(options: SelectorOptions) -> Self {
+    pub fn new(options: SelectorOptions) -> Self {
         Self {
+            prior: options.learn.prior.clone(),
+            learners: BTreeMap::new(),
+            gaps_seen: 0,
             options,
             loads: BTreeMap::new(),
             next: 0,
@@ -369,16 +386,10 @@
                 .cached_prefix(&need.parts)
                 .min(need.prompt_tokens);
             let uncached = tokens(need.prompt_tokens - cached);
-            let wait = slot_wait(running, endpoint.slots, options.model.step_ms);
-            let first = options
-                .model
-                .first_event_ms(uncached, prefill_tokens, running)
-                + wait;
-            (
-                first,
-                uncached / options.model.prefill_rate + running,
-                cached,
-            )
+            let model = self.model(&endpoint.service);
+            let wait = slot_wait(running, endpoint.slots, model.step_ms);
+            let first = model.first_event_ms(uncached, prefill_tokens, running) + wait;
+            (first, uncached / model.prefill_rate + running, cached)
         } else {
             let mean = load.mean_ms.unwrap_or(options.plain_ms);
             let rounds = ((running + 1.0) / f64::from(endpoint.slots.max(1))).max(1.0);
@@ -404,7 +415,7 @@
         now: Millis,
     ) -> AttemptNumber {
         self.next += 1;
-        let model = &self.options.model;
+        let work_model = self.model(&endpoint.service).clone();
         let capacity = tokens(memory_tokens) * self.options.cached_share;
         let load = self.loads.entry(endpoint.name.clone()).or_default();
         if load.started_ms != endpoint.started_ms {
@@ -438,18 +449,24 @@
             }
         }
         let output = tokens(need.output_tokens);
+        let (running, ahead) = load.total(now);
+        let queue = Queue {
+            tokens: ahead + prefill_tokens,
+            running,
+        };
         load.attempts.insert(
             self.next,
             ActiveAttempt {
                 sent: now,
                 prefill_tokens,
                 output,
-                begun: false,
+                last_event: None,
                 estimate_ms,
+                queue: (need.engine && !need.retry).then_some(queue),
             },
         );
         if need.engine {
-            let work_ms = model.work_ms(prefill_tokens, output);
+            let work_ms = work_model.work_ms(prefill_tokens, output);
             self.add_demand(&endpoint.service.clone(), work_ms, now);
         }
         self.next
@@ -477,8 +494,8 @@
 
     /// Returns the engine time of a request with half of its prompt cached, in milliseconds.
     #[must_use]
-    pub fn work_ms(&self, need: &Need) -> f64 {
-        let model = &self.options.model;
+    pub fn work_ms(&self, service: &Service, need: &Need) -> f64 {
+        let model = self.model(service);
         model.work_ms(tokens(need.prompt_tokens) / 2.0, tokens(need.output_tokens))
     }
 
@@ -495,11 +512,95 @@
         self.endpoint_heard(endpoint, now);
         let load = self.loads.get_mut(endpoint);
         if let Some(attempt) = load.and_then(|load| load.attempts.get_mut(&attempt)) {
-            attempt.begun = true;
+            attempt.last_event = Some(now);
             attempt.prefill_tokens = 0.0;
         }
     }
 
+    /// Records the first event of a stream of a service.
+    pub fn stream_begun(
+        &mut self,
+        service: &Service,
+        endpoint: &EndpointName,
+        attempt: AttemptNumber,
+        now: Millis,
+    ) {
+        let load = self.loads.get(endpoint);
+        let sample = load
+            .and_then(|load| load.attempts.get(&attempt))
+            .and_then(|attempt| Some((attempt.queue?, now.since(attempt.sent))));
+        if let Some((queue, took_ms)) = sample {
+            let learner = self.learner(service);
+            learner.first_event(queue, millis(Millis(took_ms)), now);
+        }
+        self.answer_begun(endpoint, attempt, now);
+    }
+
+    /// Records further events of a stream, which hold `output_tokens` tokens together.
+    pub fn events_heard(
+        &mut self,
+        service: &Service,
+        endpoint: &EndpointName,
+        attempt: AttemptNumber,
+        output_tokens: u32,
+        now: Millis,
+    ) {
+        let Some(load) = self.loads.get_mut(endpoint) else {
+            return;
+        };
+        let (running, _) = load.total(now);
+        let Some(attempt) = load.attempts.get_mut(&attempt) else {
+            return;
+        };
+        let last = attempt.last_event.replace(now);
+        self.gaps_seen = self.gaps_seen.wrapping_add(1);
+        if self.gaps_seen.is_multiple_of(GAPS_PER_SAMPLE)
+            && let Some(last) = last
+            && output_tokens > 0
+        {
+            let token_ms = millis(Millis(now.since(last))) / f64::from(output_tokens);
+            self.learner(service).event_gap(running, token_ms, now);
+        }
+    }
+
+    fn learner(&mut self, service: &Service) -> &mut Learner {
+        let options = &self.options.learn;
+        self.learners
+            .entry(service.clone())
+            .or_insert_with(|| Learner::new(options.clone()))
+    }
+
+    /// Returns the model of a service's engines.
+    #[must_use]
+    pub fn model(&self, service: &Service) -> &EngineModel {
+        let learner = self.learners.get(service);
+        learner.map_or(&self.prior, Learner::model)
+    }
+
+    /// Returns this node's own fits, for digests.
+    #[must_use]
+    pub fn own_fits(&self) -> Vec<(Service, Fit)> {
+        let learners = self.learners.iter();
+        learners
+            .map(|(service, learner)| (service.clone(), learner.own()))
+            .filter(|(_, fit)| fit.firsts > 0 || fit.gaps > 0)
+            .collect()
+    }
+
+    /// Merges the fits that a peer states.
+    pub fn merge_fits(&mut self, node: &str, fits: &[(Service, Fit)], now: Millis) {
+        for (service, fit) in fits {
+            self.learner(service).merge_peer(node, *fit, now);
+        }
+    }
+
+    /// Recomputes the models from the fits of all nodes.
+    pub fn combine_fits(&mut self, now: Millis) {
+        for learner in self.learners.values_mut() {
+            learner.combine(now);
+        }
+    }
+
     /// Removes an attempt that has ended; `answered` says whether it was answered in full.
     pub fn attempt_ended(
         &mut self,
@@ -621,7 +722,10 @@
     }
 
     fn silent(&self, limit: Millis, now: Millis) -> bool {
-        let waiting = self.attempts.values().filter(|attempt| !attempt.begun);
+        let waiting = self
+            .attempts
+            .values()
+            .filter(|attempt| attempt.last_event.is_none());
         let due = |attempt: &ActiveAttempt| {
             let since = attempt.sent.max(self.last_heard);
             millis(Millis(now.since(since))) > attempt.estimate_ms + millis(limit)
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod duty;
 mod fleet;
+mod learn;
 mod quota;
 mod scale;
 mod selection;
--- a/crates/cumin-entry/tests/all/selection.rs
+++ b/crates/cumin-entry/tests/all/selection.rs
@@ -33,7 +33,7 @@
         let now = Millis(step * 100);
         selector.attempt_sent(&engine, &need, 300_000, 100.0, now);
     }
-    let model = SelectorOptions::default().model;
+    let model = SelectorOptions::default().learn.prior;
     let true_rate = model.work_ms(5000.0, 50.0) * 10.0 / 1000.0;
     let rate = selector.busy_engines(Millis(1500))[&engines()];
     assert!(
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -217,6 +217,12 @@
         engine.map_or(0, |engine| engine.memory_tokens)
     }
 
+    /// Returns the number of tokens in one event of the service's streams.
+    fn event_tokens(&self) -> u32 {
+        let engine = self.spec.and_then(|spec| spec.engine.as_ref());
+        engine.map_or(0, |engine| engine.event_tokens)
+    }
+
     /// Returns the time after which the attempt is abandoned if no answer has begun; `None` if the
     /// request cannot be retried.
     fn answer_timeout(&self, need: &Need, estimate_ms: f64) -> Option<Duration> {
@@ -236,7 +242,7 @@
         let now = node.now();
         node.selector
             .borrow_mut()
-            .answer_begun(&flight.endpoint, flight.id, now);
+            .stream_begun(self.service, &flight.endpoint, flight.id, now);
         let first_ms = now.since(self.inbound.received_at);
         self.first_ms.set(Some(first_ms));
         node.metrics.first_seconds.observe(seconds(first_ms));
@@ -291,6 +297,15 @@
             if is_first {
                 is_first = false;
                 self.answer_begun(flight);
+            } else {
+                let tokens = events.completed().saturating_mul(self.event_tokens());
+                node.selector.borrow_mut().events_heard(
+                    self.service,
+                    &flight.endpoint,
+                    flight.id,
+                    tokens,
+                    now,
+                );
             }
             if !reply.head_written {
                 let headers = node.platform.dialect.forwarded_headers(&answer.head);
--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -7,6 +7,8 @@
 pub(crate) struct EventSplitter {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Events that the last call of [`push`](Self::push) completed.
+    completed: u32,
 }
 
 const EVENT_END: &[u8] = b"\n\n";
@@ -17,6 +19,11 @@
         self.last_id
     }
 
+    /// Returns the number of events that the last call of [`push`](Self::push) returned.
+    pub(crate) const fn completed(&self) -> u32 {
+        self.completed
+    }
+
     /// Discards the incomplete event of an earlier attempt.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
@@ -32,6 +39,7 @@
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
+        self.completed = 0;
         while let Some(end) = find_event_end(&self.partial) {
             let event = self.partial.split_to(end + EVENT_END.len());
             let id = event_id(&event);
@@ -40,6 +48,7 @@
                 continue;
             }
             self.last_id = id.or(self.last_id);
+            self.completed += 1;
             complete.extend_from_slice(&event);
         }
         complete.freeze()
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use cumin_entry::peer::{Digest, DigestOrder};
+use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_types::Millis;
 use serde::{Deserialize, Serialize};
@@ -59,7 +59,7 @@
         sequence += 1;
         update_from_peers(&node);
         let digest = own_digest(&node, sequence);
-        let payload = match postcard::to_stdvec(&digest) {
+        let payload = match encode(&digest, &own_extension(&node)) {
             Ok(payload) => payload,
             Err(error) => {
                 log::error!("event=digest_unwritten error={error}");
@@ -79,6 +79,26 @@
     }
 }
 
+fn encode(digest: &Digest, extension: &Extension) -> Result<Vec<u8>, postcard::Error> {
+    let payload = postcard::to_stdvec(digest)?;
+    postcard::to_extend(extension, payload)
+}
+
+/// Decodes a datagram; one of an older version ends after the digest.
+fn decode(payload: &[u8]) -> Result<(Digest, Extension), postcard::Error> {
+    let (digest, rest) = postcard::take_from_bytes(payload)?;
+    if rest.is_empty() {
+        return Ok((digest, Extension::default()));
+    }
+    Ok((digest, postcard::from_bytes(rest)?))
+}
+
+fn own_extension(node: &Node) -> Extension {
+    Extension {
+        fits: node.selector.borrow().own_fits(),
+    }
+}
+
 fn digest_interval(node: &Node) -> Millis {
     let nodes = node.peers.borrow().live(node.now()).count() as u64 + 1;
     Millis((INTERVAL_PER_NODE_MS * nodes).clamp(MIN_INTERVAL_MS, MAX_INTERVAL_MS))
@@ -138,7 +158,10 @@
         .borrow_mut()
         .set_nodes(sharing, heard, digest_interval(node), now);
     let live = peers.live(now).count() + 1;
-    node.selector.borrow_mut().set_nodes(live);
+    let mut selector = node.selector.borrow_mut();
+    selector.set_nodes(live);
+    selector.combine_fits(now);
+    drop(selector);
     let own_ms = saturating_i64(node.steady_wall().0);
     let mut drifts_ms: Vec<i64> = peers
         .live(now)
@@ -168,15 +191,17 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Digest>(&buffer[..length]) {
-            Ok(digest) if digest.node != node.settings.node => merge(&node, &digest, from.ip()),
+        match decode(&buffer[..length]) {
+            Ok((digest, extension)) if digest.node != node.settings.node => {
+                merge(&node, &digest, &extension, from.ip());
+            }
             Ok(_) => {}
             Err(error) => log::warn!("event=digest_unreadable from={from} error={error}"),
         }
     }
 }
 
-fn merge(node: &Node, digest: &Digest, from: IpAddr) {
+fn merge(node: &Node, digest: &Digest, extension: &Extension, from: IpAddr) {
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
     let live_before = peers.live(now).count();
@@ -205,13 +230,10 @@
         let memories = services.filter_map(|spec| Some(spec.engine.as_ref()?.memory_tokens));
         memories.max().unwrap_or(0)
     });
-    node.selector.borrow_mut().merge_peer(
-        digest.node.as_str(),
-        &digest.loads,
-        &digest.sent,
-        max_memory,
-        now,
-    );
+    let mut selector = node.selector.borrow_mut();
+    let name = digest.node.as_str();
+    selector.merge_peer(name, &digest.loads, &digest.sent, max_memory, now);
+    selector.merge_fits(name, &extension.fits, now);
 }
 
 /// Announces this node in the store, then lists the other nodes periodically; does not return.
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -153,6 +153,7 @@
             goal_left,
             time_left: Millis(self.deadline.since(now)),
             engine,
+            retry: false,
         }
     }
 
@@ -166,6 +167,7 @@
             let now = self.node.now();
             let is_retry = self.attempts_sent > 0 || failed_connections > 0;
             let mut need = self.need(now);
+            need.retry = is_retry;
             if is_retry {
                 // After a failed attempt a late answer is better than none.
                 need.goal_left = need.goal_left.max(Millis(need.time_left.0 / 2));
@@ -303,7 +305,7 @@
                 estimate_ms,
                 retry_after,
             } => {
-                let work_ms = selector.work_ms(need);
+                let work_ms = selector.work_ms(self.service, need);
                 selector.add_demand(self.service, work_ms, now);
                 let detail = format!("estimate_ms={estimate_ms:.0} goal_ms={}", need.goal_left);
                 Err((bounded(retry_after), "full", detail))
