Plan engines by prefill time and slots

Cause: the need was the sum of prefill and decode time over 0.8, plus one. Decode steps do not add to prefill time; they go on in the time that prefilling leaves, and take slots. The need is now the least number of engines of which prefilling takes at most 0.65 and running requests at most 0.6 of the slots. Digests state output tokens beside prefill time.

--- a/crates/cumin-entry/src/engine.rs
+++ b/crates/cumin-entry/src/engine.rs
@@ -19,6 +19,26 @@
     pub first_ms: f64,
 }
 
+/// Demand of requests for engines of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Engines that prefill all of the time.
+    pub prefilling: f64,
+    /// Output tokens per millisecond.
+    pub output_rate: f64,
+}
+
+impl Demand {
+    /// Returns the sum of two demands.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            prefilling: self.prefilling + other.prefilling,
+            output_rate: self.output_rate + other.output_rate,
+        }
+    }
+}
+
 /// Requests among which a decode step is divided when its cost for one of them is estimated.
 const USUAL_BATCH: f64 = 12.0;
 
@@ -50,6 +70,19 @@
         steps * (self.step_ms + self.request_ms * running)
     }
 
+    /// Returns the requests that run at once on each of `engines` engines that share a demand, or
+    /// `None` if they cannot keep up with it.
+    ///
+    /// An engine decodes only in the time that prefilling leaves, so every token takes longer the
+    /// more of its time is spent on prompts.
+    #[must_use]
+    pub fn running(&self, demand: Demand, engines: f64) -> Option<f64> {
+        let output_rate = demand.output_rate / engines;
+        let decoding = 1.0 - demand.prefilling / engines;
+        let left = decoding - output_rate * self.request_ms;
+        (left > 0.0).then(|| output_rate * self.step_ms / left)
+    }
+
     /// Returns the engine time of one output token: the step of a usual batch, divided among its
     /// requests.
     #[must_use]
--- a/crates/cumin-entry/src/peer.rs
+++ b/crates/cumin-entry/src/peer.rs
@@ -11,6 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::engine::Demand;
 use crate::learn::Fit;
 use crate::quota::TakenUnits;
 use crate::selection::{NodeLoad, SentPart};
@@ -51,7 +52,7 @@
     pub suspects: Vec<StatedSuspect>,
     /// Fencing token of the lease that it holds, and the last known end of the lease stream.
     pub lease: Option<(FencingToken, LogOffset)>,
-    /// Number of engines that its requests keep busy, by service.
+    /// Number of engines that its requests keep prefilling, by service.
     pub busy: Vec<(Service, f64)>,
 }
 
@@ -61,6 +62,8 @@
 pub struct Extension {
     /// Fits of the engines' models, by service.
     pub fits: Vec<(Service, Fit)>,
+    /// Output tokens per millisecond of its requests, by service.
+    pub output: Vec<(Service, f32)>,
 }
 
 /// Time after its last digest until an entry no longer counts as live: six digests.
@@ -74,6 +77,8 @@
 pub struct Peer {
     /// Its last digest.
     pub digest: Digest,
+    /// What followed that digest.
+    pub extension: Extension,
     /// Time at which the digest was received.
     pub heard: Millis,
 }
@@ -102,7 +107,13 @@
 
 impl Peers {
     /// Processes a digest received from the address `from`.
-    pub fn receive(&mut self, digest: Digest, from: IpAddr, now: Millis) -> DigestOrder {
+    pub fn receive(
+        &mut self,
+        digest: Digest,
+        extension: Extension,
+        from: IpAddr,
+        now: Millis,
+    ) -> DigestOrder {
         self.contacts.insert(from, now);
         let old = self.peers.get(&digest.node).map(|peer| &peer.digest);
         let order = match old {
@@ -115,7 +126,12 @@
             _ => DigestOrder::New,
         };
         let node = digest.node.clone();
-        self.peers.insert(node, Peer { digest, heard: now });
+        let peer = Peer {
+            digest,
+            extension,
+            heard: now,
+        };
+        self.peers.insert(node, peer);
         order
     }
 
@@ -150,6 +166,20 @@
         kept.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns the demand for engines of a service that the live peers state.
+    #[must_use]
+    pub fn demand(&self, service: &Service, now: Millis) -> Demand {
+        fn stated<T: Copy + Default>(values: &[(Service, T)], service: &Service) -> T {
+            let found = values.iter().find(|(name, _)| name == service);
+            found.map(|(_, value)| *value).unwrap_or_default()
+        }
+        let demands = self.live(now).map(|peer| Demand {
+            prefilling: stated(&peer.digest.busy, service),
+            output_rate: f64::from(stated(&peer.extension.output, service)),
+        });
+        demands.fold(Demand::default(), Demand::plus)
+    }
+
     /// Returns the live peer that states it holds the lease; if several do, the one with the newest
     /// token.
     #[must_use]
--- a/crates/cumin-entry/src/scale.rs
+++ b/crates/cumin-entry/src/scale.rs
@@ -17,14 +17,17 @@
 use cumin_types::{Millis, Place, Service};
 
 use crate::document::ScaleLimits;
+use crate::engine::{Demand, EngineModel};
 use crate::fleet::Endpoint;
 use crate::platform::Order;
 
 /// Settings of [`Scaler`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct ScaleOptions {
-    /// Target utilisation of an engine.
+    /// Maximum fraction of an engine's time that prefilling takes; the rest absorbs bursts.
     pub utilisation: f64,
+    /// Maximum fraction of an engine's slots that are taken on average.
+    pub slot_share: f64,
     /// Engines needed in addition to the demand.
     pub spare_engines: f64,
     /// Fraction of the initial engines that counts as needed until the demand is known.
@@ -50,7 +53,8 @@
 impl Default for ScaleOptions {
     fn default() -> Self {
         Self {
-            utilisation: 0.8,
+            utilisation: 0.65,
+            slot_share: 0.6,
             spare_engines: 1.0,
             initial_share: 1.0,
             base_share: 0.25,
@@ -64,6 +68,26 @@
     }
 }
 
+impl ScaleOptions {
+    /// Returns the least number of engines whose time and slots suffice for a demand.
+    #[must_use]
+    pub fn engines_needed(&self, engine: (&EngineModel, u32), demand: Demand) -> u32 {
+        let (model, slots) = engine;
+        let max_running = f64::from(slots.max(1)) * self.slot_share;
+        let by_time = ceil(demand.prefilling / self.utilisation).max(1);
+        let enough = |engines: u32| {
+            let running = model.running(demand, f64::from(engines));
+            running.is_some_and(|running| running <= max_running)
+        };
+        let most = by_time.saturating_mul(MAX_SLOT_FACTOR);
+        let needed = (by_time..most).find(|engines| enough(*engines));
+        ceil(f64::from(needed.unwrap_or(most)) + self.spare_engines)
+    }
+}
+
+/// Limits what slots can add to a need, in case the model of the engines is far off.
+const MAX_SLOT_FACTOR: u32 = 4;
+
 /// A place, and whether the order is for reclaimable engines.
 type OrderKey = (Place, bool);
 
@@ -132,16 +156,17 @@
 
     /// Returns the orders that differ from the last ones.
     ///
-    /// `busy` is the number of engines that requests keep busy.
+    /// `engine` is the model of the service's engines, with their number of slots.
     pub fn plan(
         &mut self,
         limits: &ScaleLimits,
         endpoints: &[&Endpoint],
-        busy: f64,
+        engine: (&EngineModel, u32),
+        demand: Demand,
         now: Millis,
     ) -> Vec<Order> {
         let working: Vec<&Endpoint> = endpoints.iter().copied().filter(|e| !e.draining).collect();
-        if busy > 0.0 {
+        if demand.output_rate > 0.0 || demand.prefilling > 0.0 {
             self.first_load.get_or_insert(now);
         }
         if now.since(self.started) < self.options.listen_time.0 {
@@ -149,7 +174,7 @@
             return Vec::new();
         }
         let options = &self.options;
-        let mut need = ceil(busy / options.utilisation + options.spare_engines);
+        let mut need = options.engines_needed(engine, demand);
         if !self.demand_known(now) {
             need = need.max(ceil(f64::from(self.initial) * options.initial_share));
         }
--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -19,7 +19,7 @@
 use cumin_types::{EndpointName, Millis, Place, Service, score};
 use serde::{Deserialize, Serialize};
 
-use crate::engine::EngineModel;
+use crate::engine::{Demand, EngineModel};
 use crate::fleet::{Endpoint, Fleet};
 use crate::learn::{Fit, LearnOptions, Learner, Queue};
 
@@ -223,8 +223,8 @@
     /// Number of random samples drawn.
     draws: u64,
     sent_parts: Vec<SentPart>,
-    /// Demand for engine time, by service.
-    demand: BTreeMap<Service, Demand>,
+    /// Demand for engines, by service.
+    demand: BTreeMap<Service, MeanDemand>,
     /// Models of the engines, by service.
     learners: BTreeMap<Service, Learner>,
     /// Model of a service of which nothing was heard.
@@ -233,30 +233,38 @@
     gaps_seen: u32,
 }
 
-/// Demand for engine time, as an exponentially decayed mean.
+/// Demand for engines, as an exponentially decayed mean.
 #[derive(Clone, Copy, Debug)]
-struct Demand {
-    /// Decayed sum of engine time.
-    sum_ms: f64,
+struct MeanDemand {
+    /// Decayed sum of the time to prefill.
+    prefill_ms: f64,
+    /// Decayed sum of output tokens.
+    output: f64,
     /// Time at which the sum was last decayed.
     updated: Millis,
     /// Time of the first request.
     since: Millis,
 }
 
-impl Demand {
-    fn add(&mut self, work_ms: f64, now: Millis) {
-        self.sum_ms = self.sum_ms * decay(self.updated, now) + work_ms;
+impl MeanDemand {
+    fn add(&mut self, prefill_ms: f64, output: f64, now: Millis) {
+        let kept = decay(self.updated, now);
+        self.prefill_ms = self.prefill_ms * kept + prefill_ms;
+        self.output = self.output * kept + output;
         self.updated = now;
     }
 
-    /// Returns the number of engines kept busy.
+    /// Returns the mean.
     ///
     /// Until the span has passed, the mean covers only the time since the first request.
-    fn busy_engines(&self, now: Millis) -> f64 {
+    fn mean(&self, now: Millis) -> Demand {
         let seen = now.since(self.since).max(MIN_DEMAND_SPAN.0);
         let weight = 1.0 - decay(Millis(0), Millis(seen));
-        self.sum_ms * decay(self.updated, now) / (DEMAND_SPAN_MS * weight)
+        let scale = decay(self.updated, now) / (DEMAND_SPAN_MS * weight);
+        Demand {
+            prefilling: self.prefill_ms * scale,
+            output_rate: self.output * scale,
+        }
     }
 }
 
@@ -415,7 +423,6 @@
         now: Millis,
     ) -> AttemptNumber {
         self.next += 1;
-        let work_model = self.model(&endpoint.service).clone();
         let capacity = tokens(memory_tokens) * self.options.cached_share;
         let load = self.loads.entry(endpoint.name.clone()).or_default();
         if load.started_ms != endpoint.started_ms {
@@ -466,39 +473,38 @@
             },
         );
         if need.engine {
-            let work_ms = work_model.work_ms(prefill_tokens, output);
-            self.add_demand(&endpoint.service.clone(), work_ms, now);
+            self.add_demand(&endpoint.service, prefill_tokens, output, now);
         }
         self.next
     }
 
-    /// Adds to the demand for engine time. Refused requests count as well.
-    pub fn add_demand(&mut self, service: &Service, work_ms: f64, now: Millis) {
-        let first = Demand {
-            sum_ms: 0.0,
+    fn add_demand(&mut self, service: &Service, prefill_tokens: f64, output: f64, now: Millis) {
+        let prefill_ms = prefill_tokens / self.model(service).prefill_rate;
+        let first = MeanDemand {
+            prefill_ms: 0.0,
+            output: 0.0,
             updated: now,
             since: now,
         };
         let demand = self.demand.entry(service.clone()).or_insert(first);
-        demand.add(work_ms, now);
+        demand.add(prefill_ms, output, now);
+    }
+
+    /// Counts a refused request as demand, with half of its prompt cached.
+    pub fn request_refused(&mut self, service: &Service, need: &Need, now: Millis) {
+        let uncached = tokens(need.prompt_tokens) / 2.0;
+        self.add_demand(service, uncached, tokens(need.output_tokens), now);
     }
 
-    /// Returns the number of engines that requests keep busy, by service.
+    /// Returns the demand of this node's requests, by service.
     #[must_use]
-    pub fn busy_engines(&self, now: Millis) -> BTreeMap<Service, f64> {
+    pub fn demand(&self, now: Millis) -> BTreeMap<Service, Demand> {
         let demand = self.demand.iter();
         demand
-            .map(|(name, demand)| (name.clone(), demand.busy_engines(now)))
+            .map(|(name, demand)| (name.clone(), demand.mean(now)))
             .collect()
     }
 
-    /// Returns the engine time of a request with half of its prompt cached, in milliseconds.
-    #[must_use]
-    pub fn work_ms(&self, service: &Service, need: &Need) -> f64 {
-        let model = self.model(service);
-        model.work_ms(tokens(need.prompt_tokens) / 2.0, tokens(need.output_tokens))
-    }
-
     /// Records that the endpoint sent data, which ends its cooldown.
     pub fn endpoint_heard(&mut self, endpoint: &EndpointName, now: Millis) {
         if let Some(load) = self.loads.get_mut(endpoint) {
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cumin_entry::document::ServiceSpec;
 use cumin_entry::duty::{DutyLease, LeaseOptions, Record, Step};
+use cumin_entry::engine::Demand;
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::platform::{CloudError, LeaseHolder, StoreError, Stream};
 use cumin_entry::scale::{ScaleOptions, Scaler};
@@ -275,11 +276,13 @@
             matching.cloned().collect()
         };
         let endpoints: Vec<&Endpoint> = endpoints.iter().collect();
-        let busy = busy_engines(&node, &spec.name, now);
+        let demand = total_demand(&node, &spec.name, now);
+        let model = node.selector.borrow().model(&spec.name).clone();
+        let slots = spec.engine.as_ref().map_or(1, |engine| engine.slots);
         let scaler = self.scalers.entry(spec.name.clone()).or_insert_with(|| {
             Scaler::new(ScaleOptions::default(), spec.name.clone(), node.started)
         });
-        let orders = scaler.plan(limits, &endpoints, busy, now);
+        let orders = scaler.plan(limits, &endpoints, (&model, slots), demand, now);
         let need = scaler.need();
         for order in orders {
             let Some(token) = self.lease.may_act(node.now()) else {
@@ -287,12 +290,14 @@
             };
             let result = cloud.order(&self.lease_holder(token), &order).await;
             log::info!(
-                "event=order service={} place={} spot={} count={} need={need} busy={busy:.2} \
-                 present={} token={token} result={result:?}",
+                "event=order service={} place={} spot={} count={} need={need} \
+                 prefilling={:.2} output_rate={:.1} present={} token={token} result={result:?}",
                 order.service,
                 order.place,
                 order.spot,
                 order.count,
+                demand.prefilling,
+                demand.output_rate,
                 endpoints.iter().filter(|e| !e.draining).count()
             );
             let Some(scaler) = self.scalers.get_mut(&spec.name) else {
@@ -322,12 +327,9 @@
     }
 }
 
-/// Returns the number of engines that the requests of all nodes keep busy.
-fn busy_engines(node: &Node, service: &Service, now: Millis) -> f64 {
-    let own = node.selector.borrow().busy_engines(now);
-    let own = own.get(service).copied().unwrap_or(0.0);
-    let peers = node.peers.borrow();
-    let others = peers.live(now).flat_map(|peer| &peer.digest.busy);
-    let others = others.filter(|(name, _)| name == service);
-    own + others.map(|(_, busy)| busy).sum::<f64>()
+/// Returns the demand of all nodes for engines of a service.
+fn total_demand(node: &Node, service: &Service, now: Millis) -> Demand {
+    let own = node.selector.borrow().demand(now);
+    let own = own.get(service).copied().unwrap_or_default();
+    own.plus(node.peers.borrow().demand(service, now))
 }
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -94,8 +94,13 @@
 }
 
 fn own_extension(node: &Node) -> Extension {
+    let selector = node.selector.borrow();
+    let demand = selector.demand(node.now()).into_iter();
+    #[expect(clippy::cast_possible_truncation, reason = "digests carry few digits")]
+    let output = demand.map(|(service, demand)| (service, demand.output_rate as f32));
     Extension {
-        fits: node.selector.borrow().own_fits(),
+        fits: selector.own_fits(),
+        output: output.collect(),
     }
 }
 
@@ -144,7 +149,11 @@
         taken: node.quotas.borrow().taken().clone(),
         suspects: node.suspects.borrow().stated(now),
         lease: node.lease.get(),
-        busy: selector.busy_engines(now).into_iter().collect(),
+        busy: selector
+            .demand(now)
+            .into_iter()
+            .map(|(service, demand)| (service, demand.prefilling))
+            .collect(),
     }
 }
 
@@ -205,7 +214,7 @@
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
     let live_before = peers.live(now).count();
-    let order = peers.receive(digest.clone(), from, now);
+    let order = peers.receive(digest.clone(), extension.clone(), from, now);
     if order == DigestOrder::Old {
         return;
     }
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -305,8 +305,9 @@
                 estimate_ms,
                 retry_after,
             } => {
-                let work_ms = selector.work_ms(self.service, need);
-                selector.add_demand(self.service, work_ms, now);
+                if need.engine {
+                    selector.request_refused(self.service, need, now);
+                }
                 let detail = format!("estimate_ms={estimate_ms:.0} goal_ms={}", need.goal_left);
                 Err((bounded(retry_after), "full", detail))
             }
