Relay pages of the store inside a place

One node of each place, by rendezvous hashing among those with fresh copies, now reads and sends each page to the others there by datagram. A page proves its age by the receiver's own time that the reader had heard before it sent the read, so neither clocks nor delays nor suspended nodes can make it look newer. A gap, or a copy older than 1.7 s, makes a node read by itself. Digests state counts of the last two usage windows, all five in every fourth one.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -13,10 +13,10 @@
 /// seconds.
 pub const LAPSE_GRACE: Millis = Millis(2200);
 
-/// Pause between two reads of registrations, multiplied by the number of nodes, so that the rate of
-/// calls does not depend on that number: all nodes together make 20 calls a second, of the 2,000
-/// that the users' smallest store allows.
-const READ_PAUSE_PER_NODE_MS: u64 = 50;
+/// Pause between two reads of registrations, multiplied by the number of nodes that read, so that
+/// the rate of calls does not depend on that number: all nodes together make 12 calls a second, of
+/// the 2,000 that the users' smallest store allows.
+const READ_PAUSE_PER_NODE_MS: u64 = 80;
 const MIN_READ_PAUSE_MS: u64 = 200;
 /// A reclaim leaves about 3 s to send work elsewhere.
 const MAX_READ_PAUSE_MS: u64 = 800;
@@ -101,6 +101,14 @@
         self.store_regained = Some(now);
     }
 
+    /// Returns the time since the store was regained after an outage, if endpoints may still
+    /// register again because of it.
+    #[must_use]
+    pub fn recently_regained(&self, now: Millis) -> Option<Millis> {
+        let since = now.since(self.store_regained?);
+        (since < LAPSE_GRACE.0).then_some(Millis(since))
+    }
+
     /// Adds or updates a registration.
     pub fn register(&mut self, endpoint: Endpoint) -> Change {
         let name = endpoint.name.clone();
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod platform;
 pub mod quota;
+pub mod relay;
 pub mod retry;
 pub mod scale;
 pub mod selection;
--- a/crates/cumin-entry/src/peer.rs
+++ b/crates/cumin-entry/src/peer.rs
@@ -64,6 +64,10 @@
     pub fits: Vec<(Service, Fit)>,
     /// Output tokens per millisecond of its requests, by service.
     pub output: Vec<(Service, f32)>,
+    /// Age of the sender's copies of the store's streams; `None` before it has read them.
+    pub store_age: Option<Millis>,
+    /// Whether the sender reads the store for its place.
+    pub reader: bool,
 }
 
 /// Time after its last digest until an entry no longer counts as live: six digests.
--- a/crates/cumin-entry/src/usage.rs
+++ b/crates/cumin-entry/src/usage.rs
@@ -66,6 +66,16 @@
         &self.own
     }
 
+    /// Returns this node's counts of the window `current` and the one before.
+    ///
+    /// Older windows change no more; they are stated in some digests only, for peers that missed
+    /// one.
+    #[must_use]
+    pub fn recent(&self, current: u64) -> Windows {
+        let recent = self.own.0.range(current.saturating_sub(1)..);
+        Windows(recent.map(|(w, counts)| (*w, counts.clone())).collect())
+    }
+
     /// Merges the counts that a peer states. Merging twice or late is harmless.
     pub fn merge(&mut self, node: &NodeName, incarnation: Incarnation, windows: &Windows) {
         self.peers
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod learn;
 mod quota;
+mod relay;
 mod scale;
 mod selection;
 mod stop;
--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -98,7 +98,8 @@
     let now = node.now();
     let bounds = node.bounds.get();
     let age_ms = node
-        .document_freshness
+        .documents
+        .freshness
         .get()
         .age_ms(now)
         .unwrap_or(u64::MAX);
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -4,23 +4,25 @@
 //! whose full wait passed without a record shows it for the end of the wait, since a record would
 //! have ended it earlier.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use cumin_entry::fleet::{Change, read_pause};
 use cumin_entry::platform::{Page, Record, StoreError, Stream};
+use cumin_entry::relay::{RelayedPage, RelayedRecord, SELF_READ_AGE};
 use cumin_types::{LogOffset, Millis};
 
 use crate::metrics::StoreCallLabels;
 use crate::node::{Freshness, Node};
+use crate::relay;
 
-/// Time that a read of documents waits for a record. It is below the bound within which a document
-/// must be in force, and well below the bound after which a removed key must be refused.
-const DOCUMENT_WAIT: Millis = Millis(1800);
+/// Time that a read waits for a record. It is below the bound within which a document must be in
+/// force, and well below the bound after which a removed key must be refused. Together with the
+/// time for an answer it is below the time within which a node must catch up once it can reach the
+/// store again.
+const READ_WAIT: Millis = Millis(1800);
 
-/// Time that a read of registrations waits for a record. Together with the time for an answer it is
-/// below the time within which a node must catch up once it can reach the store again.
-const REGISTRY_WAIT: Millis = Millis(1800);
+/// The same for a node that reads for its place.
+const RELAYED_WAIT: Millis = Millis(1000);
 
 /// Pause after a failed read. It doubles with each further failure, up to `MAX_RETRY_PAUSE`.
 const MIN_RETRY_PAUSE: Millis = Millis(50);
@@ -49,21 +51,39 @@
     node.metrics.store_calls.get_or_create(&label).inc();
 }
 
+/// Longest time that a node that reads for itself only waits before it checks whether it became a
+/// reader.
+const CHECK_INTERVAL: Millis = Millis(250);
+
+/// Range over which the nodes' own reads are spread when the reader of their place is lost.
+const SELF_READ_SPREAD_MS: u64 = 300;
+
 /// Lists the newest records of a stream, then reads it from there on; does not return.
 ///
-/// `handle_page` is called for each page, with whether the page is a listing.
-async fn follow(
-    node: Rc<Node>,
-    stream: Stream,
-    wait: Millis,
-    pause: impl Fn(&Node) -> Millis,
-    freshness: impl Fn(&Node) -> &Cell<Freshness>,
-    mut handle_page: impl FnMut(&Node, Page, bool),
-) {
-    let mut from: Option<LogOffset> = None;
+/// A node that is not the reader of its place waits for the pages that the reader relays.
+async fn follow(node: Rc<Node>, stream: Stream, pause: impl Fn(&Node) -> Millis) {
+    let feed = node.feed(stream);
     let mut retry = MIN_RETRY_PAUSE;
+    let spread = cumin_types::score(b"self read", node.settings.node.as_str());
+    let limit = SELF_READ_AGE.plus(spread % SELF_READ_SPREAD_MS);
     loop {
+        let reader = relay::is_reader(&node);
+        let wanted = feed.wanted.replace(false);
+        if !reader && !wanted && feed.at.get().is_some() {
+            let age = feed.freshness.get().age_ms(node.now());
+            let left = age.map_or(0, |age| limit.0.saturating_sub(age));
+            if left > 0 {
+                let time = Millis(left.min(CHECK_INTERVAL.0)).duration();
+                tokio::select! {
+                    () = tokio::time::sleep(time) => {}
+                    () = feed.notify.notified() => {}
+                }
+                continue;
+            }
+        }
         let sent = node.now();
+        let from = feed.at.get();
+        let wait = if reader { read_wait(&node) } else { Millis(0) };
         let store = &node.platform.store;
         let result = match from {
             None => store.newest(stream).await,
@@ -71,57 +91,42 @@
         };
         let call = if from.is_none() { "newest" } else { "read" };
         count_call(&node, stream, call, &result);
-        let state = freshness(&node);
         match result {
             Ok(page) => {
-                let lost_since = state.get().lost_since;
-                if let Some(since) = lost_since {
-                    let now = node.now();
-                    log::info!(
-                        "event=dependency_regained name=store stream={stream} after_ms={}",
-                        now.since(since)
-                    );
-                    if stream == Stream::Endpoints {
-                        node.fleet.borrow_mut().store_regained(now);
-                    }
-                }
-                let wait_end = sent.plus(wait.0);
-                let timed_out = from.is_some() && page.records.is_empty() && wait_end <= node.now();
-                let as_of = if timed_out { wait_end } else { sent };
-                let as_of = state.get().as_of.max(Some(as_of));
-                state.set(Freshness {
-                    as_of,
-                    lost_since: None,
-                });
                 retry = MIN_RETRY_PAUSE;
-                let is_listing = from.is_none();
                 log::debug!(
                     "event=page stream={stream} records={} end={} took_ms={}",
                     page.records.len(),
                     page.end,
                     node.now().since(sent)
                 );
-                from = Some(page.end);
-                handle_page(&node, page, is_listing);
+                let wait_end = sent.plus(wait.0);
+                let timed_out = from.is_some()
+                    && wait > Millis(0)
+                    && page.records.is_empty()
+                    && wait_end <= node.now();
+                let as_of = if timed_out { wait_end } else { sent };
+                read_answered(&node, stream, page, from, as_of).await;
                 let pause = pause(&node);
-                if pause > Millis(0) {
+                if reader && pause > Millis(0) {
                     tokio::time::sleep(pause.duration()).await;
                 }
             }
             Err(StoreError::Trimmed { first }) => {
                 log::info!("event=records_gone stream={stream} first={first}");
-                from = None;
+                feed.at.set(None);
             }
             Err(error) => {
-                let mut current = state.get();
+                let mut current = feed.freshness.get();
                 if current.lost_since.is_none() {
                     let age_ms = current.age_ms(node.now()).unwrap_or_default();
                     log::warn!(
                         "event=dependency_lost name=store stream={stream} age_ms={age_ms} error={error:?}"
                     );
                     current.lost_since = Some(node.now());
-                    state.set(current);
+                    feed.freshness.set(current);
                 }
+                feed.wanted.set(wanted);
                 tokio::time::sleep(retry.duration()).await;
                 retry = Millis((retry.0 * 2).min(MAX_RETRY_PAUSE.0));
             }
@@ -129,94 +134,167 @@
     }
 }
 
+/// Returns the time that a read waits for a record. A node whose place depends on it reads more
+/// often, because relayed copies are older by a digest's interval.
+fn read_wait(node: &Node) -> Millis {
+    let peers = node.peers.borrow();
+    let mut live = peers.live(node.now());
+    if live.any(|peer| peer.digest.place == node.settings.place) {
+        RELAYED_WAIT
+    } else {
+        READ_WAIT
+    }
+}
+
+/// Applies a page that this node has read from `from`, and relays it if others rely on this node.
+async fn read_answered(
+    node: &Node,
+    stream: Stream,
+    page: Page,
+    from: Option<LogOffset>,
+    as_of: Millis,
+) {
+    let feed = node.feed(stream);
+    let state = feed.freshness.get();
+    if let Some(since) = state.lost_since {
+        let now = node.now();
+        log::info!(
+            "event=dependency_regained name=store stream={stream} after_ms={}",
+            now.since(since)
+        );
+        if stream == Stream::Endpoints {
+            node.fleet.borrow_mut().store_regained(now);
+        }
+    }
+    feed.freshness.set(Freshness {
+        as_of: state.as_of.max(Some(as_of)),
+        lost_since: None,
+    });
+    let end = page.end;
+    let records = apply_page(node, stream, page, from.is_none());
+    if let Some(from) = from
+        && node.reader.get()
+    {
+        let page = RelayedPage {
+            documents: stream == Stream::Document,
+            from,
+            end,
+            records,
+            partial: false,
+            regained: node.fleet.borrow().recently_regained(node.now()),
+        };
+        relay::send(node, page, as_of).await;
+    }
+}
+
+/// Applies a page, except for records that were applied before, and returns the records that
+/// mattered.
+pub(crate) fn apply_page(
+    node: &Node,
+    stream: Stream,
+    mut page: Page,
+    is_listing: bool,
+) -> Vec<RelayedRecord> {
+    let feed = node.feed(stream);
+    if is_listing {
+        feed.at.set(Some(page.end));
+    } else if let Some(at) = feed.at.get() {
+        // A page of a peer may have arrived while this node's own read was in flight.
+        page.records.retain(|record| record.offset >= at);
+        feed.at.set(Some(page.end.max(at)));
+    }
+    match stream {
+        Stream::Document => apply_documents(node, &page),
+        _ => apply_registrations(node, page, is_listing),
+    }
+}
+
 /// Follows the operator's documents; does not return.
 pub(crate) async fn documents(node: Rc<Node>) {
-    let handle_page = |node: &Node, page: Page, _is_listing: bool| {
-        let codec = &node.platform.codec;
-        let key = codec.document_key();
-        let is_document = |record: &&Record| record.key.as_deref() == Some(key);
-        // Only the newest document matters, and decoding one takes a while.
-        let Some(record) = page.records.iter().rev().find(is_document) else {
-            return;
-        };
-        let Some(value) = &record.value else {
-            log::error!("event=document_removed offset={}", record.offset);
-            return;
-        };
-        match codec.decode_document(value) {
+    follow(node, Stream::Document, |_| Millis(0)).await;
+}
+
+fn apply_documents(node: &Node, page: &Page) -> Vec<RelayedRecord> {
+    let codec = &node.platform.codec;
+    let key = codec.document_key();
+    let is_document = |record: &&Record| record.key.as_deref() == Some(key);
+    // Only the newest document matters, and decoding one takes a while.
+    let Some(record) = page.records.iter().rev().find(is_document) else {
+        return Vec::new();
+    };
+    match &record.value {
+        Some(value) => match codec.decode_document(value) {
             Ok(document) => node.apply_document(document, "store"),
             Err(error) => log::error!(
                 "event=document_unreadable offset={} error={error:?}",
                 record.offset
             ),
-        }
-    };
-    follow(
-        node,
-        Stream::Document,
-        DOCUMENT_WAIT,
-        |_| Millis(0),
-        |node| &node.document_freshness,
-        handle_page,
-    )
-    .await;
+        },
+        None => log::error!("event=document_removed offset={}", record.offset),
+    }
+    RelayedRecord::from_record(record).into_iter().collect()
 }
 
 /// Follows the registrations of endpoints; does not return.
 pub(crate) async fn endpoints(node: Rc<Node>) {
-    let handle_page = |node: &Node, page: Page, is_listing: bool| {
+    follow(node, Stream::Endpoints, |node| {
         let now = node.now();
-        let codec = &node.platform.codec;
-        let mut listed = Vec::new();
-        let mut changes = Vec::new();
-        for record in page.records {
-            let Some(key) = record.key else { continue };
-            match record
-                .value
-                .map(|value| codec.decode_endpoint(&key, &value, now))
-            {
-                Some(Ok(endpoint)) if is_listing => listed.push(endpoint),
-                Some(Ok(endpoint)) => changes.push(node.fleet.borrow_mut().register(endpoint)),
-                Some(Err(error)) => log::debug!(
+        let peers = node.peers.borrow();
+        let readers = peers.live(now).filter(|peer| peer.extension.reader).count() + 1;
+        read_pause(readers, node.bounds.get().drain)
+    })
+    .await;
+}
+
+fn apply_registrations(node: &Node, page: Page, is_listing: bool) -> Vec<RelayedRecord> {
+    let now = node.now();
+    let codec = &node.platform.codec;
+    let mut listed = Vec::new();
+    let mut changes = Vec::new();
+    let mut relayed = Vec::new();
+    for record in page.records {
+        let Some(key) = &record.key else { continue };
+        let value = record.value.as_ref();
+        let mut fleet = node.fleet.borrow_mut();
+        let version = fleet.version();
+        let change = match value.map(|value| codec.decode_endpoint(key, value, now)) {
+            Some(Ok(endpoint)) if is_listing => {
+                listed.push(endpoint);
+                continue;
+            }
+            Some(Ok(endpoint)) => fleet.register(endpoint),
+            Some(Err(error)) => {
+                log::debug!(
                     "event=registration_unreadable key={key} offset={} error={error:?}",
                     record.offset
-                ),
-                None => {
-                    let name = key.as_str().into();
-                    changes.push(node.fleet.borrow_mut().unregister(&name, now));
-                }
-            }
-        }
-        let mut fleet = node.fleet.borrow_mut();
-        if is_listing {
-            changes.extend(fleet.apply_listing(listed, now));
-        }
-        changes.extend(fleet.remove_expired(now));
-        for change in &changes {
-            log_change(change);
-            if let Change::New(name) | Change::Gone(name) = change {
-                crate::attempt::endpoint_lost(node, name);
+                );
+                continue;
             }
+            None => fleet.unregister(&key.as_str().into(), now),
+        };
+        if change != Change::None || fleet.version() != version {
+            relayed.extend(RelayedRecord::from_record(&record));
         }
-        if changes.iter().any(|change| *change != Change::None) {
-            node.selector.borrow_mut().trim(&fleet);
-            node.idle_connections
-                .borrow_mut()
-                .retain(|name, _| fleet.get(name).is_some());
+        changes.push(change);
+    }
+    let mut fleet = node.fleet.borrow_mut();
+    if is_listing {
+        changes.extend(fleet.apply_listing(listed, now));
+    }
+    changes.extend(fleet.remove_expired(now));
+    for change in &changes {
+        log_change(change);
+        if let Change::New(name) | Change::Gone(name) = change {
+            crate::attempt::endpoint_lost(node, name);
         }
-    };
-    follow(
-        node,
-        Stream::Endpoints,
-        REGISTRY_WAIT,
-        |node| {
-            let nodes = node.peers.borrow().live(node.now()).count() + 1;
-            read_pause(nodes, node.bounds.get().drain)
-        },
-        |node| &node.registry_freshness,
-        handle_page,
-    )
-    .await;
+    }
+    if changes.iter().any(|change| *change != Change::None) {
+        node.selector.borrow_mut().trim(&fleet);
+        node.idle_connections
+            .borrow_mut()
+            .retain(|name, _| fleet.get(name).is_some());
+    }
+    relayed
 }
 
 fn log_change(change: &Change) {
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
+use cumin_entry::relay::Proof;
 use cumin_types::Millis;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -25,6 +26,9 @@
 const MIN_INTERVAL_MS: u64 = 100;
 const MAX_INTERVAL_MS: u64 = 250;
 
+/// One digest in this many states the counts of all kept usage windows.
+const FULL_USAGE_PERIOD: u64 = 4;
+
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -101,6 +105,8 @@
     Extension {
         fits: selector.own_fits(),
         output: output.collect(),
+        store_age: node.store_age(),
+        reader: node.reader.get(),
     }
 }
 
@@ -145,7 +151,11 @@
         wall: node.steady_wall(),
         loads: selector.own_loads(),
         sent: selector.take_sent_parts(),
-        usage: node.usage.borrow().own().clone(),
+        usage: if sequence.is_multiple_of(FULL_USAGE_PERIOD) {
+            node.usage.borrow().own().clone()
+        } else {
+            node.usage.borrow().recent(node.usage_window())
+        },
         taken: node.quotas.borrow().taken().clone(),
         suspects: node.suspects.borrow().stated(now),
         lease: node.lease.get(),
@@ -182,6 +192,7 @@
     drifts_ms.sort_unstable();
     node.drift_ms.set(drifts_ms[drifts_ms.len() / 2]);
     node.usage.borrow_mut().trim(node.usage_window());
+    node.stamps.borrow_mut().trim(&peers, now);
 }
 
 fn saturating_u32(n: usize) -> u32 {
@@ -227,6 +238,11 @@
         );
     }
     drop(peers);
+    let proof = Proof {
+        incarnation: digest.incarnation,
+        wall: digest.wall,
+    };
+    node.stamps.borrow_mut().heard(&digest.node, proof, now);
     node.usage
         .borrow_mut()
         .merge(&digest.node, digest.incarnation, &digest.usage);
@@ -278,7 +294,7 @@
         let pause = match listed {
             Ok(page) => {
                 add_contacts(&node, &page);
-                LIST_INTERVAL
+                list_interval(&node)
             }
             Err(_) => ANNOUNCE_RETRY_PAUSE,
         };
@@ -297,9 +313,15 @@
     }
 }
 
-/// Time between two listings of the nodes, which find nodes that never received a digest of each
-/// other.
-const LIST_INTERVAL: Millis = Millis(20_000);
+/// Returns the time between two listings of the nodes, which find nodes that never received a
+/// digest of each other. All nodes together list them about once a second.
+fn list_interval(node: &Node) -> Millis {
+    let nodes = node.peers.borrow().live(node.now()).count() as u64 + 1;
+    Millis((LIST_INTERVAL_PER_NODE_MS * nodes).max(MIN_LIST_INTERVAL_MS))
+}
+
+const LIST_INTERVAL_PER_NODE_MS: u64 = 1000;
+const MIN_LIST_INTERVAL_MS: u64 = 20_000;
 
 /// Pause after a failed announcement or listing.
 const ANNOUNCE_RETRY_PAUSE: Millis = Millis(300);
@@ -311,10 +333,10 @@
     let age_seconds = |age_ms: Option<u64>| age_ms.map_or(f64::NAN, seconds);
     metrics
         .document_age
-        .set(age_seconds(node.document_freshness.get().age_ms(now)));
+        .set(age_seconds(node.documents.freshness.get().age_ms(now)));
     metrics
         .registry_age
-        .set(age_seconds(node.registry_freshness.get().age_ms(now)));
+        .set(age_seconds(node.registrations.freshness.get().age_ms(now)));
     let token = node.lease.get().map_or(0, |(token, _)| token.0);
     metrics.lease_token.set(saturating_i64(token));
     let endpoints = node.fleet.borrow().all().count();
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod metrics;
 mod node;
+mod relay;
 mod request;
 pub mod sink;
 mod stop;
@@ -80,7 +81,9 @@
             listeners.push((role, listener));
         }
     }
-    let node = Rc::new(Node::new(settings, platform));
+    let pages = relay::bind(&settings).await;
+    let page_socket = pages.map_err(|(address, error)| StartError::Bind { address, error })?;
+    let node = Rc::new(Node::new(settings, platform, page_socket));
     let address = SocketAddr::new(node.settings.address, node.settings.base_port);
     let socket = gossip::bind(&node).await;
     let socket = Rc::new(socket.map_err(|error| StartError::Bind { address, error })?);
@@ -98,6 +101,7 @@
     actix_rt::spawn(gossip::announce(node.clone()));
     actix_rt::spawn(gossip::send(node.clone(), socket.clone()));
     actix_rt::spawn(gossip::receive(node.clone(), socket));
+    actix_rt::spawn(relay::receive(node.clone()));
     actix_rt::spawn(duty::run(node.clone()));
     loop {
         tokio::select! {
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -9,8 +9,9 @@
 use cumin_entry::document::{Document, Table};
 use cumin_entry::fleet::Fleet;
 use cumin_entry::peer::Peers;
-use cumin_entry::platform::{Clock, Cloud, Codec, Dialect, Store};
+use cumin_entry::platform::{Clock, Cloud, Codec, Dialect, Store, Stream};
 use cumin_entry::quota::Quotas;
+use cumin_entry::relay::Stamps;
 use cumin_entry::retry::{BudgetOptions, RetryBudget};
 use cumin_entry::selection::{Selector, SelectorOptions};
 use cumin_entry::settings::{Bounds, Settings};
@@ -20,6 +21,7 @@
 use cumin_types::{
     EndpointName, FencingToken, Incarnation, LogOffset, Millis, Service, WallMillis,
 };
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::connection::Connection;
@@ -66,6 +68,18 @@
     }
 }
 
+/// Progress in a stream of the store.
+#[derive(Debug, Default)]
+pub(crate) struct Feed {
+    /// Offset to continue reading from; `None` before the first listing.
+    pub(crate) at: Cell<Option<LogOffset>>,
+    pub(crate) freshness: Cell<Freshness>,
+    /// Whether a relayed page showed that this node must read by itself.
+    pub(crate) wanted: Cell<bool>,
+    /// Notified when a relayed page arrives.
+    pub(crate) notify: Notify,
+}
+
 /// State of a node.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -76,13 +90,19 @@
     pub(crate) started: Millis,
     /// Wall-clock time at the origin of the monotonic clock, determined once at the start because
     /// the wall clock may jump.
-    origin_ms: i64,
+    pub(crate) origin_ms: i64,
     /// Median difference of the live nodes' wall clocks to that of this node.
     pub(crate) drift_ms: Cell<i64>,
     pub(crate) http_config: ServiceConfig,
     pub(crate) table: RefCell<Option<Rc<Table>>>,
-    pub(crate) document_freshness: Cell<Freshness>,
-    pub(crate) registry_freshness: Cell<Freshness>,
+    pub(crate) documents: Feed,
+    pub(crate) registrations: Feed,
+    /// Whether this node reads the store for its place.
+    pub(crate) reader: Cell<bool>,
+    /// Times that peers stated, which prove the age of relayed pages to them.
+    pub(crate) stamps: RefCell<Stamps>,
+    /// Socket for relayed pages.
+    pub(crate) page_socket: UdpSocket,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) selector: RefCell<Selector>,
     pub(crate) quotas: RefCell<Quotas>,
@@ -102,7 +122,7 @@
 }
 
 impl Node {
-    pub(crate) fn new(settings: Settings, platform: Platform) -> Self {
+    pub(crate) fn new(settings: Settings, platform: Platform, page_socket: UdpSocket) -> Self {
         let (now, wall) = (platform.clock.now(), platform.clock.wall());
         let options = SelectorOptions {
             place: settings.place.clone(),
@@ -116,8 +136,11 @@
             drift_ms: Cell::new(0),
             http_config: ServiceConfig::default(),
             table: RefCell::new(None),
-            document_freshness: Cell::default(),
-            registry_freshness: Cell::default(),
+            documents: Feed::default(),
+            registrations: Feed::default(),
+            reader: Cell::default(),
+            stamps: RefCell::default(),
+            page_socket,
             fleet: RefCell::default(),
             selector: RefCell::new(Selector::new(options)),
             quotas: RefCell::default(),
@@ -135,6 +158,15 @@
             settings,
             platform,
         }
+        .with_bounds()
+    }
+
+    /// Passes the bounds on to the state that depends on them.
+    fn with_bounds(self) -> Self {
+        let now = self.now();
+        let tolerance = self.bounds.get().quota;
+        self.quotas.borrow_mut().set_tolerance(tolerance, now);
+        self
     }
 
     /// Reloads the settings. Bounds take effect at once, addresses only at the next start.
@@ -151,15 +183,6 @@
             }
             Err(error) => log::error!("event=reload cause={cause} error={error:?}"),
         }
-        .with_bounds()
-    }
-
-    /// Passes the bounds on to the state that depends on them.
-    fn with_bounds(self) -> Self {
-        let now = self.now();
-        let tolerance = self.bounds.get().quota;
-        self.quotas.borrow_mut().set_tolerance(tolerance, now);
-        self
     }
 
     pub(crate) fn now(&self) -> Millis {
@@ -185,6 +208,21 @@
         self.wall().0 / self.bounds.get().usage_window.0.max(1)
     }
 
+    /// Returns the progress in a relayed stream.
+    pub(crate) const fn feed(&self, stream: Stream) -> &Feed {
+        match stream {
+            Stream::Document => &self.documents,
+            _ => &self.registrations,
+        }
+    }
+
+    /// Returns the age of the older one of the copies; `None` before both were read.
+    pub(crate) fn store_age(&self) -> Option<Millis> {
+        let now = self.now();
+        let age = |feed: &Feed| feed.freshness.get().age_ms(now);
+        Some(Millis(age(&self.documents)?.max(age(&self.registrations)?)))
+    }
+
     pub(crate) fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
     }
@@ -245,12 +283,14 @@
     /// unready before that and the directory sends callers to other nodes.
     pub(crate) fn ready(&self) -> bool {
         let age_ms = self
-            .document_freshness
+            .documents
+            .freshness
             .get()
             .age_ms(self.now())
             .unwrap_or(u64::MAX);
         let bound_ms = self.bounds.get().revoke_limit.0 * UNREADY_TENTHS / 10;
-        let known = self.table.borrow().is_some() && self.registry_freshness.get().as_of.is_some();
+        let known =
+            self.table.borrow().is_some() && self.registrations.freshness.get().as_of.is_some();
         !self.stopping() && known && (!self.bounds.get().strict_revoke || age_ms < bound_ms)
     }
 
@@ -273,6 +313,6 @@
 }
 
 /// Converts to `u64`; negative values become zero.
-fn saturating_u64(value: i64) -> u64 {
+pub(crate) fn saturating_u64(value: i64) -> u64 {
     u64::try_from(value).unwrap_or_default()
 }
