Bound what endpoints send, and end stalled streams

A stream that sent comments, old events or single bytes never ended before its deadline. Found by the tests in endless.rs.

A stream ends when no new event came for as long as its caller waits, or half of that if it can go on elsewhere; pauses that the route allows are never cut, and the time in which the caller reads does not count. A body that comes too slowly is retried as a head is.

--- a/crates/cumin-entry/src/document.rs
+++ b/crates/cumin-entry/src/document.rs
@@ -52,6 +52,9 @@
     pub timeout: Option<Millis>,
     /// Target latency of an answer, or of the first event of a stream.
     pub goal: Millis,
+    /// Longest pause between two events of a stream that is still in time.
+    #[serde(default)]
+    pub pause: Option<Millis>,
     /// Maximum number of endpoints that one request is sent to, at least 1.
     pub attempts: u32,
     /// Rank of the route; 0 is the most urgent.
@@ -60,6 +63,19 @@
     pub open: bool,
 }
 
+impl Route {
+    /// Returns the time without a new event after which a caller abandons a stream, as the users
+    /// state it.
+    #[must_use]
+    pub fn patience(&self) -> Millis {
+        let pause = self.pause.unwrap_or_default();
+        Millis((4 * self.goal.0).max(8 * pause.0).max(MIN_PATIENCE.0))
+    }
+}
+
+/// Minimum time that callers wait for an event.
+const MIN_PATIENCE: Millis = Millis(2000);
+
 /// Capacity of the engines of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -9,6 +9,7 @@
 use cumin_entry::platform::{AnswerHead, Attempt};
 use cumin_entry::selection::{AttemptNumber, Need};
 use cumin_types::{EndpointName, Millis, Organisation};
+use tokio::time::Instant;
 
 use crate::caller::{Reply, ReplyEnd};
 use crate::connection::{Answer, AnswerError, Connection, Outbound};
@@ -143,21 +144,36 @@
             None => exchange.await,
         };
         match answer {
-            Ok(answer) => self.handle_answer(answer, flight, events, reply).await,
+            Ok(answer) => {
+                self.handle_answer(answer, timeout, flight, events, reply)
+                    .await
+            }
             Err(error) => {
-                log::debug!(
-                    "event=attempt_fault endpoint={} error={error}",
-                    endpoint.name
-                );
+                self.attempt_failed(&endpoint.name, &error);
                 Ok(AttemptEnd::Broken)
             }
         }
     }
 
+    /// Logs an attempt without a complete answer. An endpoint that sent bytes that are no answer
+    /// gets a cooldown: more of them would follow.
+    fn attempt_failed(&self, endpoint: &EndpointName, error: &AnswerError) {
+        log::info!(
+            "event=attempt_fault id={} endpoint={endpoint} error={error}",
+            self.id()
+        );
+        if matches!(error, AnswerError::Malformed(_)) {
+            let now = self.node.now();
+            let mut selector = self.node.selector.borrow_mut();
+            selector.connection_failed(endpoint, now);
+        }
+    }
+
     /// Classifies an answer by its head and forwards it.
     async fn handle_answer(
         &self,
         mut answer: Answer,
+        timeout: Option<Duration>,
         mut flight: InFlight<'_>,
         events: &mut EventSplitter,
         reply: &mut Reply<'_, '_>,
@@ -192,10 +208,22 @@
                 .await;
         }
         self.answer_begun(&flight);
-        let body = match answer.read_body(MAX_BODY_BYTES).await {
-            Ok(body) => body,
-            Err(error) => {
-                log::debug!("event=torn_answer endpoint={endpoint} error={error}");
+        let reading = answer.read_body(MAX_BODY_BYTES);
+        let read = match timeout {
+            Some(limit) => tokio::time::timeout(limit, reading).await,
+            None => Ok(reading.await),
+        };
+        let body = match read {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => {
+                self.attempt_failed(&endpoint, &error);
+                return Ok(AttemptEnd::Broken);
+            }
+            Err(_) => {
+                log::info!(
+                    "event=attempt_fault id={} endpoint={endpoint} error=\"slow body\"",
+                    self.id()
+                );
                 return Ok(AttemptEnd::Broken);
             }
         };
@@ -217,6 +245,17 @@
         engine.map_or(0, |engine| engine.memory_tokens)
     }
 
+    /// Returns the time without a new event after which a stream is given up: when its caller
+    /// leaves, or half of that if it can go on at another endpoint.
+    fn stall_limit(&self) -> Millis {
+        let patience = self.route.patience();
+        if self.route.kind.is_repeatable() && self.attempts_sent < self.route.attempts {
+            Millis(patience.0 / 2)
+        } else {
+            patience
+        }
+    }
+
     /// Returns the number of tokens in one event of the service's streams.
     fn event_tokens(&self) -> u32 {
         let engine = self.spec.and_then(|spec| spec.engine.as_ref());
@@ -280,8 +319,11 @@
         let node = self.node;
         let mut is_first = true;
         events.discard_partial();
+        let limit = self.stall_limit();
+        let mut progress = Instant::now();
         loop {
-            let bytes = match answer.next().await {
+            let next = tokio::time::timeout_at(progress + limit.duration(), answer.next()).await;
+            let bytes = match next.unwrap_or(Err(AnswerError::Stalled(limit))) {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => break,
                 Err(error) => return Ok(self.stream_broke(&error, flight, reply)),
@@ -290,10 +332,16 @@
             node.selector
                 .borrow_mut()
                 .endpoint_heard(&flight.endpoint, now);
+            let last_id = events.last_id();
             let complete = events.push(&bytes);
+            if events.is_oversized() {
+                let error = AnswerError::Malformed("an event without end".into());
+                return Ok(self.stream_broke(&error, flight, reply));
+            }
             if complete.is_empty() {
                 continue;
             }
+            let is_progress = events.last_id() != last_id;
             if is_first {
                 is_first = false;
                 self.answer_begun(flight);
@@ -312,6 +360,11 @@
                 reply.begin(answer.head.status, headers)?;
             }
             reply.send_chunk(complete).await?;
+            // Bytes without a new event are no progress; the time that the caller takes to read
+            // does not count against the endpoint.
+            if is_progress {
+                progress = Instant::now();
+            }
         }
         if !events.is_complete() {
             let error = AnswerError::Malformed("the stream ends within an event".into());
@@ -335,11 +388,7 @@
         flight: &InFlight<'_>,
         reply: &Reply<'_, '_>,
     ) -> AttemptEnd {
-        log::info!(
-            "event=torn_stream id={} endpoint={} error={error}",
-            self.id(),
-            flight.endpoint
-        );
+        self.attempt_failed(&flight.endpoint, error);
         if reply.head_written && !self.route.kind.is_repeatable() {
             let now = self.node.now();
             let mut suspects = self.node.suspects.borrow_mut();
--- a/crates/cumin-serve/src/connection.rs
+++ b/crates/cumin-serve/src/connection.rs
@@ -30,8 +30,23 @@
     /// The endpoint sent bytes that are not a valid answer.
     #[display("the answer can't be read: {_0}")]
     Malformed(#[error(not(source))] String),
+    /// A stream made no progress for longer than its caller waits.
+    #[display("no event for {_0} ms")]
+    Stalled(#[error(not(source))] Millis),
 }
 
+/// Informational answers that are skipped before one answer.
+const MAX_INFORMATIONAL: usize = 16;
+
+/// Answers to other requests that are skipped before one answer.
+const MAX_STRAY_ANSWERS: usize = 4;
+
+/// Maximum size of the body of such an answer.
+const MAX_STRAY_BYTES: usize = 1024 * 1024;
+
+/// Maximum number of bytes between two pieces of a body: sizes of chunks, extensions and trailers.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
 /// A connection to an endpoint.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -96,7 +111,7 @@
 
     /// Sends a request and reads up to the first answer head that `is_own` accepts.
     ///
-    /// Other answers are read to their end and discarded.
+    /// Other answers are read to their end and discarded, up to a number of them.
     pub(crate) async fn exchange(
         mut self,
         config: &ServiceConfig,
@@ -120,9 +135,14 @@
             .map_err(AnswerError::Closed)?;
         self.output.extend_from_slice(outbound.body);
         let without_body = outbound.method == Method::HEAD;
+        let (mut informational, mut stray) = (0, 0);
         loop {
             let answer = self.read_head(codec, without_body).await?;
             if answer.head.status.is_informational() {
+                informational += 1;
+                if informational > MAX_INFORMATIONAL {
+                    return Err(AnswerError::Malformed("informational answers only".into()));
+                }
                 (self, codec) = (answer.connection, ClientCodec::new(config.clone()));
                 continue;
             }
@@ -130,6 +150,12 @@
                 return Ok(answer);
             }
             log::warn!("event=stray_answer status={}", answer.head.status.as_u16());
+            stray += 1;
+            if stray > MAX_STRAY_ANSWERS {
+                return Err(AnswerError::Malformed(
+                    "answers to other requests only".into(),
+                ));
+            }
             self = answer.discard().await?;
             // The answer to this request may follow, but no other request may be sent after it.
             self.unusable = true;
@@ -160,8 +186,8 @@
         }
     }
 
-    /// Waits for input while writing the rest of the request.
-    async fn transfer(&mut self) -> Result<(), AnswerError> {
+    /// Waits for input while writing the rest of the request, and returns its size in bytes.
+    async fn transfer(&mut self) -> Result<usize, AnswerError> {
         let read = {
             let (mut reader, mut writer) = self.stream.split();
             loop {
@@ -181,7 +207,7 @@
         };
         match read {
             Ok(0) => Err(AnswerError::Closed(io::ErrorKind::UnexpectedEof.into())),
-            Ok(_) => Ok(()),
+            Ok(length) => Ok(length),
             Err(error) => Err(AnswerError::Closed(error)),
         }
     }
@@ -206,6 +232,7 @@
 impl Answer {
     /// Reads the next bytes of the body; returns `None` at its end.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        let mut framing_bytes = 0;
         loop {
             match &mut self.body {
                 Body::None => return Ok(None),
@@ -215,6 +242,9 @@
                         self.body = Body::None;
                         return Ok(None);
                     }
+                    Ok(None) if framing_bytes > MAX_FRAMING_BYTES => {
+                        return Err(AnswerError::Malformed("framing without a body".into()));
+                    }
                     Ok(None) => {}
                     Err(error) => return Err(AnswerError::Malformed(error.to_string())),
                 },
@@ -224,7 +254,7 @@
                 Body::UntilClose => {}
             }
             match self.connection.transfer().await {
-                Ok(()) => {}
+                Ok(length) => framing_bytes += length,
                 Err(AnswerError::Closed(error))
                     if error.kind() == io::ErrorKind::UnexpectedEof
                         && matches!(self.body, Body::UntilClose) =>
@@ -238,30 +268,40 @@
         }
     }
 
-    /// Reads the complete body. The limit in bytes is checked from the third chunk on.
+    /// Reads the complete body, of at most `limit` bytes.
     pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, AnswerError> {
-        let Some(first) = self.next().await? else {
-            return Ok(Bytes::new());
-        };
-        let Some(second) = self.next().await? else {
-            return Ok(first);
-        };
-        let mut all = BytesMut::from(first.as_ref());
-        all.extend_from_slice(&second);
+        let mut first = Bytes::new();
+        let mut all = BytesMut::new();
         while let Some(bytes) = self.next().await? {
-            if all.len() + bytes.len() > limit {
+            if first.len() + all.len() + bytes.len() > limit {
                 return Err(AnswerError::Malformed(format!(
                     "the body exceeds {limit} bytes"
                 )));
             }
-            all.extend_from_slice(&bytes);
+            if first.is_empty() {
+                first = bytes;
+            } else {
+                all.extend_from_slice(&bytes);
+            }
+        }
+        if all.is_empty() {
+            return Ok(first);
         }
-        Ok(all.freeze())
+        let mut whole = BytesMut::with_capacity(first.len() + all.len());
+        whole.extend_from_slice(&first);
+        whole.extend_from_slice(&all);
+        Ok(whole.freeze())
     }
 
-    /// Reads and discards the body.
+    /// Reads and discards the body, of at most [`MAX_STRAY_BYTES`].
     async fn discard(mut self) -> Result<Connection, AnswerError> {
-        while self.next().await?.is_some() {}
+        let mut length = 0;
+        while let Some(bytes) = self.next().await? {
+            length += bytes.len();
+            if length > MAX_STRAY_BYTES {
+                return Err(AnswerError::Malformed("a stray answer without end".into()));
+            }
+        }
         if self.keep_alive && !self.connection.unusable {
             Ok(self.connection)
         } else {
--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -9,10 +9,15 @@
     last_id: Option<u64>,
     /// Events that the last call of [`push`](Self::push) completed.
     completed: u32,
+    /// Bytes at the start of `partial` that hold no end of an event.
+    searched: usize,
 }
 
 const EVENT_END: &[u8] = b"\n\n";
 
+/// Maximum size of an event.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 impl EventSplitter {
     /// Returns the identifier of the last event that was returned.
     pub(crate) const fn last_id(&self) -> Option<u64> {
@@ -27,6 +32,12 @@
     /// Discards the incomplete event of an earlier attempt.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
+    }
+
+    /// Returns whether the incomplete event is longer than any event may be.
+    pub(crate) fn is_oversized(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
     }
 
     /// Returns whether the stream so far ends with a complete event.
@@ -40,8 +51,9 @@
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
         self.completed = 0;
-        while let Some(end) = find_event_end(&self.partial) {
-            let event = self.partial.split_to(end + EVENT_END.len());
+        while let Some(end) = find_event_end(&self.partial[self.searched..]) {
+            let event = self.partial.split_to(self.searched + end + EVENT_END.len());
+            self.searched = 0;
             let id = event_id(&event);
             let delivered = id.is_some_and(|id| self.last_id.is_some_and(|last_id| id <= last_id));
             if delivered {
@@ -51,6 +63,8 @@
             self.completed += 1;
             complete.extend_from_slice(&event);
         }
+        // The end of an event may be split between two calls.
+        self.searched = self.partial.len().saturating_sub(EVENT_END.len() - 1);
         complete.freeze()
     }
 }
--- a/crates/cumin-serve/tests/all/answers.rs
+++ b/crates/cumin-serve/tests/all/answers.rs
@@ -61,6 +61,33 @@
     });
 }
 
+/// A second copy of an earlier answer must not be taken for the next one, whatever identifiers it
+/// bears, and a connection on which one came is not used again.
+#[test]
+fn second_copy() {
+    run(async {
+        let copy = |ids: &str| {
+            Step::Write(format!(
+                "HTTP/1.1 200 OK\r\n{ids}X-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong"
+            ))
+        };
+        let earlier = "X-Attempt-Id: earlier\r\n";
+        let both = "X-Attempt-Id: ID\r\nX-Attempt-Id: earlier\r\n";
+        for ids in [earlier, "", both] {
+            let first = vec![answer(200, "first")];
+            // The copy comes after the next request was sent, in two parts.
+            let second = vec![copy(ids), Step::Wait(30), answer(200, "second")];
+            let third = vec![answer(200, "third")];
+            let endpoint = Endpoint::start(vec![first, second, third]).await;
+            let entry = Entry::start(&[&endpoint], &[]).await;
+            for expected in ["first", "second", "third"] {
+                let got = entry.call("POST", "/unsafe/x", "", "book").await;
+                assert_eq!(body(&got), expected, "{ids}: {got}");
+            }
+        }
+    });
+}
+
 /// A connection with bytes after a complete answer must not be reused: the next request would take
 /// them for its answer.
 #[test]
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -2,6 +2,7 @@
 //! store.
 
 mod answers;
+mod endless;
 mod keys;
 mod requests;
 mod sink;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -131,6 +132,11 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Writes text over and over until the peer closes the connection, then sets `closed`.
+    Repeat(String),
+    /// Writes text every so many milliseconds until the peer closes the connection, then sets
+    /// `closed`.
+    Trickle(String, u64),
     /// Sends nothing until the peer closes the connection, then sets `closed`.
     Hold,
 }
@@ -194,6 +200,19 @@
                     let _ = stream.set_zero_linger();
                     return;
                 }
+                Step::Repeat(text) => {
+                    let block = text.repeat(4096 / text.len() + 1);
+                    while stream.write_all(block.as_bytes()).await.is_ok() {}
+                    peer_closed.set(true);
+                    return;
+                }
+                Step::Trickle(text, ms) => {
+                    while stream.write_all(text.as_bytes()).await.is_ok() {
+                        sleep(Duration::from_millis(*ms)).await;
+                    }
+                    peer_closed.set(true);
+                    return;
+                }
                 Step::Hold => {
                     let mut unread = Vec::new();
                     let _ = stream.read_to_end(&mut unread).await;
@@ -268,9 +287,23 @@
     version: Cell<u64>,
 }
 
+/// Returns a port that no other socket of the tests takes before the entry binds it.
+///
+/// Ports are handed out one by one from below the range that the system gives to sockets without a
+/// port of their own. Processes start at different ports; a port that is in use is skipped.
 fn free_port() -> u16 {
-    let listener = StdListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
+    const FIRST_PORT: u16 = 10_000;
+    const PORTS: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let number = (std::process::id().wrapping_mul(997).wrapping_add(number)) % PORTS;
+        let port = FIRST_PORT + u16::try_from(number).unwrap();
+        let unused = |port| StdListener::bind(("127.0.0.1", port)).is_ok();
+        if unused(port) {
+            return port;
+        }
+    }
 }
 
 fn bounds() -> Bounds {
@@ -310,10 +343,11 @@
         let store = MemoryStore::default();
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let address = || SocketAddr::new(local, free_port());
+        // The metrics and the relayed pages use the two ports after the first.
         let port = loop {
-            let port = free_port();
-            if StdListener::bind((local, port + 1)).is_ok() {
-                break port;
+            let ports = [free_port(), free_port(), free_port()];
+            if ports[1] == ports[0] + 1 && ports[2] == ports[0] + 2 {
+                break ports[0];
             }
         };
         let settings = Settings {
@@ -372,6 +406,14 @@
                 "max_attempts": attempts, "public": false, "stream_resume": resume,
             })
         };
+        // Routes of streams whose events follow each other quickly.
+        let paced = |prefix: &str, attempts: u32, resume: bool| {
+            let mut value = route(prefix, "streaming", "engine", attempts, resume);
+            value["timeout_ms"] = json!(9000);
+            value["target_latency_ms"] = json!(200);
+            value["gap_aim_ms"] = json!(100);
+            value
+        };
         let value = json!({
             "version": self.version.get(),
             "routes": [
@@ -380,6 +422,8 @@
                 route("/unsafe/", "unsafe", "plain", 1, false),
                 route("/stream/", "streaming", "engine", 1, false),
                 route("/resume/", "streaming", "engine", 2, true),
+                paced("/paced/", 1, false),
+                paced("/paced/resume/", 2, true),
             ],
             "services": [
                 {"name": "plain", "health_path": "/health", "max_connections": 100},
