Cover the loss of a further place after a reclaim

Cause: places are reclaimed one after the other, seconds apart, and new engines take 4 s to boot while reclaimed ones stay for 2.6 s. For 12 s after most reclaimable engines of a place drain, on-demand engines also cover the place that has the most.

--- a/crates/cumin-entry/src/scale.rs
+++ b/crates/cumin-entry/src/scale.rs
@@ -7,6 +7,10 @@
 //! need, and any shortfall as soon as reclaimable engines are told to leave. Orders increase at once
 //! and decrease only after the need has been lower for a while.
 //!
+//! Load pattern: the places are reclaimed one after the other, seconds apart, and a replacement takes
+//! longer to boot than a reclaimed engine stays. For a while after a reclaim, on-demand engines
+//! therefore also cover the loss of the place with the most reclaimable ones.
+//!
 //! Load pattern: after the nodes start, there is no traffic at first; then it starts at its full
 //! rate with cold caches. The engines that run at the start are what the operators planned for, so
 //! their number is kept until requests have been seen for a while; reclaimable engines replace most
@@ -36,6 +40,8 @@
     pub base_share: f64,
     /// Reclaimable engines to order, as a multiple of the need.
     pub spot_factor: f64,
+    /// Time after a reclaim for which the loss of another place is covered.
+    pub risk_time: Millis,
     /// Time that a need must have been lower before orders decrease.
     pub fall_delay: Millis,
     /// Time until an order is repeated if it was refused, or if its engines are missing.
@@ -59,6 +65,7 @@
             initial_share: 1.0,
             base_share: 0.25,
             spot_factor: 1.3,
+            risk_time: Millis(12_000),
             fall_delay: Millis(4000),
             reorder_delay: Millis(5000),
             listen_time: Millis(4500),
@@ -131,6 +138,8 @@
     ordered: BTreeMap<OrderKey, (u32, Millis)>,
     /// Time of the last refused order.
     refused: BTreeMap<OrderKey, Millis>,
+    /// Time at which a place was last seen to be reclaimed.
+    reclaimed: Option<Millis>,
     /// Engines needed.
     need: Damped,
     /// On-demand engines wanted.
@@ -149,6 +158,7 @@
             first_load: None,
             ordered: BTreeMap::new(),
             refused: BTreeMap::new(),
+            reclaimed: None,
             need: Damped::default(),
             on_demand: Damped::default(),
         }
@@ -181,7 +191,14 @@
         let need = self.need.update(need, options.fall_delay, now);
         let spot = count(working.iter().filter(|e| e.spot).count());
         let base = ceil(f64::from(need) * options.base_share).max(1);
-        let on_demand = need.saturating_sub(spot).max(base);
+        if any_reclaimed(endpoints) {
+            self.reclaimed = Some(now);
+        }
+        let risky = self
+            .reclaimed
+            .is_some_and(|at| now.since(at) < options.risk_time.0);
+        let at_risk = if risky { largest_place(&working) } else { 0 };
+        let on_demand = need.saturating_sub(spot - at_risk).max(base);
         let on_demand = self.on_demand.update(on_demand, options.fall_delay, now);
         let reclaimable = match limits.spot_price {
             Some(_) => ceil(f64::from(need) * options.spot_factor),
@@ -310,6 +327,28 @@
     }
 }
 
+/// Returns whether most reclaimable engines of some place drain: those that this system gives back
+/// are few at a time.
+fn any_reclaimed(endpoints: &[&Endpoint]) -> bool {
+    let mut places: BTreeMap<&Place, (u32, u32)> = BTreeMap::new();
+    for endpoint in endpoints.iter().filter(|e| e.spot) {
+        let (draining, all) = places.entry(&endpoint.place).or_default();
+        *draining += u32::from(endpoint.draining);
+        *all += 1;
+    }
+    let mut counts = places.into_values();
+    counts.any(|(draining, all)| draining > 1 && 2 * draining > all)
+}
+
+/// Returns the number of reclaimable engines in the place that has the most.
+fn largest_place(working: &[&Endpoint]) -> u32 {
+    let mut counts: BTreeMap<&Place, u32> = BTreeMap::new();
+    for endpoint in working.iter().filter(|e| e.spot) {
+        *counts.entry(&endpoint.place).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or(0)
+}
+
 fn count(n: usize) -> u32 {
     u32::try_from(n).unwrap_or(u32::MAX)
 }
--- a/crates/cumin-entry/tests/all/scale.rs
+++ b/crates/cumin-entry/tests/all/scale.rs
@@ -199,3 +199,69 @@
     run(&mut platform, &mut scaler, 0.5, 18, 40);
     assert!(platform.engines.len() < start);
 }
+
+/// All places were reclaimed within seconds of each other. New engines took longer to boot than the
+/// reclaimed ones stayed, and half of the answers were late (ijwi-kigali-grown quiet-1).
+#[test]
+fn reclaims_in_series() {
+    const BOOT_MS: u64 = 4000;
+    const NOTICE_MS: u64 = 2600;
+    let limits = ScaleLimits {
+        max: 40,
+        ..limits()
+    };
+    let mut scaler = scaler();
+    let mut engines: Vec<(Endpoint, u64)> = Vec::new();
+    for place in ["a", "b", "c"] {
+        engines.extend((0..10).map(|number| (engine(place, false, number), 0)));
+    }
+    let mut next = 100;
+    let mut worst = f64::MAX;
+    let reclaims = [(30_000, "b"), (34_000, "c"), (36_000, "a")];
+    for now in (0..60_000).step_by(250) {
+        for (at, place) in reclaims {
+            for (engine, _) in &mut engines {
+                if engine.spot && engine.place.as_str() == place && now == at {
+                    engine.draining = true;
+                    engine.leaves_at = Some(Millis(now + NOTICE_MS));
+                }
+            }
+        }
+        engines.retain(|(engine, _)| engine.leaves_at.is_none_or(|at| Millis(now) < at));
+        let booted = engines.iter().filter(|(_, ready)| *ready <= now);
+        let seen: Vec<Endpoint> = booted.map(|(engine, _)| engine.clone()).collect();
+        let seen: Vec<&Endpoint> = seen.iter().collect();
+        let load = demand(20.0);
+        let orders = scaler.plan(&limits, &seen, (&MODEL, 64), load, Millis(now));
+        if now >= 30_000 {
+            let working = f64::from(u32::try_from(seen.len()).unwrap());
+            worst = worst.min(working / load.prefilling);
+        }
+        for order in orders {
+            let same = |e: &Endpoint| e.spot == order.spot && e.place == order.place;
+            if order.spot && now >= 30_000 {
+                scaler.order_refused(&order, Millis(now));
+                continue;
+            }
+            scaler.order_accepted(&order, Millis(now));
+            let have = engines
+                .iter()
+                .filter(|(e, _)| same(e) && !e.draining)
+                .count();
+            let wanted = usize::try_from(order.count).unwrap();
+            for _ in have..wanted {
+                next += 1;
+                let new = engine(order.place.as_str(), order.spot, next);
+                engines.push((new, now + BOOT_MS));
+            }
+            let mut surplus = have.saturating_sub(wanted);
+            engines.retain(|(e, _)| {
+                let drop = surplus > 0 && same(e) && !e.draining;
+                surplus -= usize::from(drop);
+                !drop
+            });
+        }
+    }
+    // Engines that prefill all of the time cannot answer in time.
+    assert!(worst > 1.1, "{worst:.2} engines for each that is kept busy");
+}
--- a/crates/cumin-entry/tests/all/selection.rs
+++ b/crates/cumin-entry/tests/all/selection.rs
@@ -199,8 +199,8 @@
     fn run(&mut self, endpoint: &EndpointName, now: u64, rng: &mut ChaCha8Rng) -> u64 {
         let slots = self.slots.entry(endpoint.clone()).or_insert(vec![0; 6]);
         let slot = slots.iter_mut().min().expect("an endpoint has slots");
-        let slow = if endpoint.as_str() == "p1" { 13 } else { 10 };
-        *slot = (*slot).max(now) + rng.random_range(15..45) * slow / 10;
+        let factor = if endpoint.as_str() == "p1" { 13 } else { 10 };
+        *slot = (*slot).max(now) + rng.random_range(15..45) * factor / 10;
         *slot
     }
 }
