Return other addresses from each directory

Cause: an answer holds 64 addresses at most. With 78 entries, every directory returned the same 64, and 14 machines got no callers at all. Each directory now orders the addresses by a hash of its own name.

--- a/crates/cumin-entry/src/peer.rs
+++ b/crates/cumin-entry/src/peer.rs
@@ -7,7 +7,7 @@
 
 use cumin_types::{
     EndpointName, FencingToken, Incarnation, LogOffset, Millis, NodeName, Place, Revision, Service,
-    WallMillis,
+    WallMillis, score,
 };
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +18,14 @@
 use crate::suspects::StatedSuspect;
 use crate::usage::Windows;
 
+/// Orders the addresses that an entry's directory returns.
+///
+/// Load pattern: an answer holds fewer addresses than there are entries. If all directories left
+/// out the same ones, those would get no callers; here each directory leaves out others.
+pub fn spread_addresses(node: &NodeName, addresses: &mut [SocketAddr]) {
+    addresses.sort_by_cached_key(|address| score(node.as_str().as_bytes(), &address.to_string()));
+}
+
 /// State that one entry sends to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions of an entry, one file per module.
 
+mod directory;
 mod duty;
 mod fleet;
 mod learn;
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -8,7 +8,7 @@
 use actix_http::ServiceConfig;
 use cumin_entry::document::{Document, Table};
 use cumin_entry::fleet::Fleet;
-use cumin_entry::peer::Peers;
+use cumin_entry::peer::{Peers, spread_addresses};
 use cumin_entry::platform::{Clock, Cloud, Codec, Dialect, Store, Stream};
 use cumin_entry::quota::Quotas;
 use cumin_entry::relay::Stamps;
@@ -299,7 +299,10 @@
         let own = self.settings.caller_address.filter(|_| self.ready());
         let peers = self.peers.borrow();
         let live = peers.live(self.now()).filter(|peer| peer.digest.ready);
-        live.map(|peer| peer.digest.address).chain(own).collect()
+        let mut addresses: Vec<SocketAddr> =
+            live.map(|peer| peer.digest.address).chain(own).collect();
+        spread_addresses(&self.settings.node, &mut addresses);
+        addresses
     }
 }
 
