--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -149,7 +149,7 @@
                     .await
             }
             Err(error) => {
-                self.attempt_failed(&endpoint.name, &error);
+                self.attempt_failed("attempt_fault", &endpoint.name, &error);
                 Ok(AttemptEnd::Broken)
             }
         }
@@ -157,9 +157,9 @@
 
     /// Logs an attempt without a complete answer. An endpoint that sent bytes that are no answer
     /// gets a cooldown: more of them would follow.
-    fn attempt_failed(&self, endpoint: &EndpointName, error: &AnswerError) {
+    fn attempt_failed(&self, event: &str, endpoint: &EndpointName, error: &AnswerError) {
         log::info!(
-            "event=attempt_fault id={} endpoint={endpoint} error={error}",
+            "event={event} id={} endpoint={endpoint} error={error}",
             self.id()
         );
         if matches!(error, AnswerError::Malformed(_)) {
@@ -216,7 +216,7 @@
         let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                self.attempt_failed(&endpoint, &error);
+                self.attempt_failed("attempt_fault", &endpoint, &error);
                 return Ok(AttemptEnd::Broken);
             }
             Err(_) => {
@@ -388,7 +388,7 @@
         flight: &InFlight<'_>,
         reply: &Reply<'_, '_>,
     ) -> AttemptEnd {
-        self.attempt_failed(&flight.endpoint, error);
+        self.attempt_failed("torn_stream", &flight.endpoint, error);
         if reply.head_written && !self.route.kind.is_repeatable() {
             let now = self.node.now();
             let mut suspects = self.node.suspects.borrow_mut();
