--- a/crates/cumin-entry/src/relay.rs
+++ b/crates/cumin-entry/src/relay.rs
@@ -60,7 +60,7 @@
     pub from: LogOffset,
     /// Offset to continue from.
     pub end: LogOffset,
-    /// The records that matter: later ones may replace those that were left out.
+    /// The records that changed the reader's copy. Most registrations only repeat the last one.
     pub records: Vec<RelayedRecord>,
     /// Whether records that matter are missing because they take too many bytes.
     pub partial: bool,
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -51,11 +51,11 @@
     node.metrics.store_calls.get_or_create(&label).inc();
 }
 
-/// Longest time that a node that reads for itself only waits before it checks whether it became a
-/// reader.
+/// Interval at which a node that waits for relayed pages checks whether it became the reader.
 const CHECK_INTERVAL: Millis = Millis(250);
 
-/// Range over which the nodes' own reads are spread when the reader of their place is lost.
+/// Range over which the nodes' own reads are spread, so that the loss of a reader does not make all
+/// nodes of its place read at the same moment.
 const SELF_READ_SPREAD_MS: u64 = 300;
 
 /// Lists the newest records of a stream, then reads it from there on; does not return.
