Read before half of a bound when the reader of a place is lost

A node that relied on the reader of its place read by itself only when its copy was 1.7 to 2.0 s old, whatever the bound. It now does so at half of the bound, 1.2 s at most; readers wait 0.5 s for a document instead of 1.0 s, so that this is rare in steady state.

--- a/crates/cumin-entry/src/relay.rs
+++ b/crates/cumin-entry/src/relay.rs
@@ -21,8 +21,20 @@
 /// Age of its copies beyond which a node is not chosen as reader: it may have lost the store.
 pub const MAX_READER_AGE: Millis = Millis(2500);
 
-/// Age of a copy after which a node reads by itself.
-pub const SELF_READ_AGE: Millis = Millis(1700);
+/// Maximum age of a copy at which a node reads by itself.
+const MAX_SELF_READ_AGE: Millis = Millis(1200);
+
+/// Returns the age of a copy at which a node reads by itself, if what the copy shows must be acted
+/// on within `bound`.
+///
+/// Half of the bound is left for the read and for a repetition of it. Nodes differ a little, so that
+/// the loss of a reader does not make all nodes of its place read at the same moment.
+#[must_use]
+pub fn self_read_age(node: &NodeName, bound: Millis) -> Millis {
+    let age = MAX_SELF_READ_AGE.0.min(bound.0 / 2);
+    let spread = score(b"self read", node.as_str()) % (age / 10).max(1);
+    Millis(age - spread)
+}
 
 /// Returns whether this node reads the store for its place.
 ///
--- a/crates/cumin-entry/tests/all/relay.rs
+++ b/crates/cumin-entry/tests/all/relay.rs
@@ -4,7 +4,9 @@
 
 use cumin_entry::peer::{Digest, Extension, Peers};
 use cumin_entry::quota::TakenUnits;
-use cumin_entry::relay::{MAX_READER_AGE, PageFit, Proof, RelayedPage, Stamps, is_reader};
+use cumin_entry::relay::{
+    MAX_READER_AGE, PageFit, Proof, RelayedPage, Stamps, is_reader, self_read_age,
+};
 use cumin_entry::usage::Windows;
 use cumin_types::{Incarnation, LogOffset, Millis, NodeName, Place, Revision, WallMillis};
 use proptest::prelude::*;
@@ -94,6 +96,20 @@
     }
 }
 
+/// When the reader of a place was lost, a node used its copy until it was 2 s old, and sent a
+/// request to an endpoint 2,093 ms after that had begun to drain (bound 2,000 ms; ijwi-kigali,
+/// hunt-fec8-7).
+#[test]
+fn reads_in_time() {
+    for bound in [1000, 2000, 3000, 4000] {
+        for node in 0..78 {
+            let age = self_read_age(&name(node), Millis(bound));
+            assert!(age.0 * 10 <= bound * 6, "{age} of {bound}");
+            assert!(age.0 * 10 >= bound.min(2400) * 4, "{age} of {bound}");
+        }
+    }
+}
+
 fn page(from: u64, end: u64, partial: bool) -> RelayedPage {
     RelayedPage {
         documents: false,
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -8,7 +8,7 @@
 
 use cumin_entry::fleet::{Change, read_pause};
 use cumin_entry::platform::{Page, Record, StoreError, Stream};
-use cumin_entry::relay::{RelayedPage, RelayedRecord, SELF_READ_AGE};
+use cumin_entry::relay::{RelayedPage, RelayedRecord, self_read_age};
 use cumin_types::{LogOffset, Millis};
 
 use crate::metrics::StoreCallLabels;
@@ -21,8 +21,9 @@
 /// store again.
 const READ_WAIT: Millis = Millis(1800);
 
-/// The same for a node that reads for its place.
-const RELAYED_WAIT: Millis = Millis(1000);
+/// The same for a node that reads for its place. With a digest's interval, it is below half of the
+/// bound, at which the others would read by themselves.
+const RELAYED_WAIT: Millis = Millis(500);
 
 /// Pause after a failed read. It doubles with each further failure, up to `MAX_RETRY_PAUSE`.
 const MIN_RETRY_PAUSE: Millis = Millis(50);
@@ -54,22 +55,22 @@
 /// Interval at which a node that waits for relayed pages checks whether it became the reader.
 const CHECK_INTERVAL: Millis = Millis(250);
 
-/// Range over which the nodes' own reads are spread, so that the loss of a reader does not make all
-/// nodes of its place read at the same moment.
-const SELF_READ_SPREAD_MS: u64 = 300;
-
 /// Lists the newest records of a stream, then reads it from there on; does not return.
 ///
 /// A node that is not the reader of its place waits for the pages that the reader relays.
 async fn follow(node: Rc<Node>, stream: Stream, pause: impl Fn(&Node) -> Millis) {
     let feed = node.feed(stream);
     let mut retry = MIN_RETRY_PAUSE;
-    let spread = cumin_types::score(b"self read", node.settings.node.as_str());
-    let limit = SELF_READ_AGE.plus(spread % SELF_READ_SPREAD_MS);
     loop {
         let reader = relay::is_reader(&node);
         let wanted = feed.wanted.replace(false);
         if !reader && !wanted && feed.at.get().is_some() {
+            let bounds = node.bounds.get();
+            let bound = match stream {
+                Stream::Document => bounds.apply_limit,
+                _ => bounds.drain,
+            };
+            let limit = self_read_age(&node.settings.node, bound);
             let age = feed.freshness.get().age_ms(node.now());
             let left = age.map_or(0, |age| limit.0.saturating_sub(age));
             if left > 0 {
