Keep ended registrations only where the store was lost

The reader of the place was frozen for 6 s, took that for an outage of the store when it woke, and passed this on with its pages. The other node then kept an endpoint that had left for another 2.2 s. A node now believes an outage only if it could not read the store either.

--- a/crates/cumin-entry/src/relay.rs
+++ b/crates/cumin-entry/src/relay.rs
@@ -135,6 +135,16 @@
         }
     }
 
+    /// Returns the time since the end of an outage of the store, for a node that lost the store at
+    /// `lost_since`.
+    ///
+    /// A reader that was suspended takes its own absence for an outage. Only a node that could not
+    /// read either keeps endpoints whose registrations end.
+    #[must_use]
+    pub fn outage_end(&self, lost_since: Option<Millis>) -> Option<Millis> {
+        self.regained.filter(|_| lost_since.is_some())
+    }
+
     /// Returns what a node does with the page that has read up to `at`.
     #[must_use]
     pub fn fit(&self, at: Option<LogOffset>) -> PageFit {
--- a/crates/cumin-entry/tests/all/relay.rs
+++ b/crates/cumin-entry/tests/all/relay.rs
@@ -135,6 +135,18 @@
     assert_eq!(page(10, 20, true).fit(at(20)), PageFit::Next);
 }
 
+/// A reader woke from a freeze and told of an outage that was its own. The other node of the place
+/// kept an endpoint that had left, and sent it a request 2,067 ms later (hackbrett trouble-2).
+#[test]
+fn suspended_reader() {
+    let page = RelayedPage {
+        regained: Some(Millis(100)),
+        ..page(10, 20, false)
+    };
+    assert_eq!(page.outage_end(None), None);
+    assert_eq!(page.outage_end(Some(Millis(5000))), Some(Millis(100)));
+}
+
 proptest! {
     /// Whatever the delays of digests, reads and pages, a page never proves to its receiver that
     /// its copy is newer than the read that produced it.
--- a/crates/cumin-serve/src/relay.rs
+++ b/crates/cumin-serve/src/relay.rs
@@ -145,11 +145,11 @@
         PageFit::Next => {}
     }
     let now = node.now();
-    if let Some(since) = page.regained {
+    let state = feed.freshness.get();
+    if let Some(since) = page.outage_end(state.lost_since) {
         let at = Millis(now.since(since));
         node.fleet.borrow_mut().store_regained(at);
     }
-    let state = feed.freshness.get();
     let as_of = Some(node.local_time(proof.wall).min(now)).max(state.as_of);
     if let Some(since) = state.lost_since {
         log::info!(
