Relay only the offsets that a page really covers

Cause, read in the code: while a reader's own read is in flight, a page of another reader may arrive. The records that it brought are then left out of the page that is relayed, but that page still claimed to cover them, so a third node of the place would have skipped them without seeing a gap. Not reproduced; the tests of cumin-serve pass, a test with three nodes is missing.

--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -172,6 +172,9 @@
         lost_since: None,
     });
     let end = page.end;
+    // Records before the current offset came from another reader meanwhile. They are not in what
+    // is applied now, so the relayed page must not claim to cover them.
+    let from = from.max(from.and(feed.at.get()));
     let records = apply_page(node, stream, page, from.is_none());
     if let Some(from) = from
         && node.reader.get()
