Name prompt parts in log lines of broken attempts; count known suspects

The logs of the incident could not show whether the requests at several crashes had a part in common. torn_stream and attempt_fault name the request's fingerprint and its shared parts, and the gauge cumin_suspects tells whether entries know the same suspects. No decision changes.

--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -18,6 +18,7 @@
 //!   unanswered requests and was silent for longer than expected.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::fmt;
 
 use cumin_types::{EndpointName, Millis, Place, Service, score};
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,29 @@
     pub tokens: u32,
 }
 
+/// Returns the parts that other prompts may share: all but the last one.
+#[must_use]
+pub fn shared_parts(parts: &[Part]) -> &[Part] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+/// Formats the identifiers of parts for a log line.
+#[derive(Clone, Copy, Debug)]
+pub struct PartList<'a>(pub &'a [Part]);
+
+impl fmt::Display for PartList<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return f.write_str("-");
+        }
+        for (index, part) in self.0.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            write!(f, "{comma}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// Properties of a request that the selection depends on.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Need {
@@ -483,8 +507,7 @@
             )]
             load.cache.touch(*part, capacity as u64);
         }
-        let shared = need.parts.len().saturating_sub(1);
-        for part in need.parts.iter().take(shared) {
+        for part in shared_parts(&need.parts) {
             if self.sent_parts.len() < MAX_SENT_PARTS {
                 let endpoint = endpoint.name.clone();
                 self.sent_parts.push(SentPart {
--- a/crates/cumin-entry/src/suspects.rs
+++ b/crates/cumin-entry/src/suspects.rs
@@ -168,6 +168,15 @@
         suspect.map_or(0, Suspect::open_crashes)
     }
 
+    /// Returns the number of suspects that this node knows.
+    #[must_use]
+    pub fn count(&self, now: Millis) -> usize {
+        let known = self.known.values();
+        known
+            .filter(|suspect| suspect.age(now) < SUSPECT_TTL)
+            .count()
+    }
+
     /// Returns the suspects to state in a digest.
     #[must_use]
     pub fn stated(&self, now: Millis) -> Vec<StatedSuspect> {
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::platform::{AnswerHead, Attempt};
-use cumin_entry::selection::{AttemptNumber, Need};
+use cumin_entry::selection::{AttemptNumber, Need, PartList, shared_parts};
 use cumin_types::{EndpointName, Millis, Organisation};
 use tokio::time::Instant;
 
@@ -159,8 +159,10 @@
     /// gets a cooldown: more of them would follow.
     fn attempt_failed(&self, event: &str, endpoint: &EndpointName, error: &AnswerError) {
         log::info!(
-            "event={event} id={} endpoint={endpoint} error={error}",
-            self.id()
+            "event={event} id={} endpoint={endpoint} request={:?} parts={} error={error}",
+            self.id(),
+            self.fingerprint,
+            PartList(shared_parts(&self.request.parts))
         );
         if matches!(error, AnswerError::Malformed(_)) {
             let now = self.node.now();
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -345,4 +345,8 @@
         .set(i64::try_from(endpoints).unwrap_or(i64::MAX));
     let peers = node.peers.borrow().live(now).count();
     metrics.peers.set(i64::try_from(peers).unwrap_or(i64::MAX));
+    let suspects = node.suspects.borrow().count(now);
+    metrics
+        .suspects
+        .set(i64::try_from(suspects).unwrap_or(i64::MAX));
 }
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -53,6 +53,7 @@
     pub(crate) lease_token: Gauge,
     pub(crate) endpoints: Gauge,
     pub(crate) peers: Gauge,
+    pub(crate) suspects: Gauge,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -77,6 +78,7 @@
             lease_token: Gauge::default(),
             endpoints: Gauge::default(),
             peers: Gauge::default(),
+            suspects: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -129,6 +131,11 @@
         );
         registry.register("endpoints", "Endpoints registered", m.endpoints.clone());
         registry.register("peers", "Other nodes heard", m.peers.clone());
+        registry.register(
+            "suspects",
+            "Suspects of crashes that are known",
+            m.suspects.clone(),
+        );
         Self {
             registry,
             ..metrics
