Add failing tests for a crashing prompt part and an empty unframed stream

crashing_part::no_two_alike: engines crash when they begin to answer prompts with one part; the requests differ otherwise.

--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -2,9 +2,11 @@
 //! store.
 
 mod answers;
+mod crashing_part;
 mod endless;
 mod keys;
 mod requests;
 mod sink;
 mod streams;
 mod support;
+mod unframed;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -35,6 +35,10 @@
         self.push(stream, Some(key), Some(Bytes::from(value.to_string())));
     }
 
+    pub fn remove(&self, stream: Stream, key: &str) {
+        self.push(stream, Some(key), None);
+    }
+
     fn push(&self, stream: Stream, key: Option<&str>, value: Option<Bytes>) -> LogOffset {
         let mut records = self.records.borrow_mut();
         let offset = LogOffset(records.iter().filter(|(s, _)| *s == stream).count() as u64);
@@ -224,7 +228,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
@@ -278,6 +282,15 @@
     Step::Write("0\r\n\r\n".into())
 }
 
+/// Registers an endpoint in the store.
+pub fn register(store: &MemoryStore, name: &str, service: &str, address: SocketAddr) {
+    let value = json!({
+        "service": service, "address": address, "zone": "a", "version": "v1", "slots": 6,
+        "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+    });
+    store.put(Stream::Endpoints, name, &value);
+}
+
 /// An entry in front of endpoints of the services `plain` and `engine`.
 pub struct Entry {
     pub store: MemoryStore,
@@ -389,11 +402,7 @@
     }
 
     pub fn register(&self, name: &str, service: &str, address: SocketAddr) {
-        let value = json!({
-            "service": service, "address": address, "zone": "a", "version": "v1", "slots": 6,
-            "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
-        });
-        self.store.put(Stream::Endpoints, name, &value);
+        register(&self.store, name, service, address);
     }
 
     /// Publishes a document with `keys` as the valid keys.
