Do not pass on an empty stream without a length as complete

Callers got a complete, empty stream when an engine ended the connection after the head of a stream that has neither a length nor chunks. Such a body ends with its connection, and so does one of an engine that crashes before the first event; a stream without any event was taken as whole. It now counts as broken off: the request goes on at another engine if its route allows that, or its caller gets 502. unframed::no_event failed before and passes now; the other framings, a stream that ends within an event, and a reset were already told apart (unframed::within_event, reset, goes_on).

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -372,6 +372,11 @@
             let error = AnswerError::Malformed("the stream ends within an event".into());
             return Ok(self.stream_broke(&error, flight, reply));
         }
+        if answer.until_close && is_first {
+            // The connection of an endpoint that crashes ends in the same way.
+            let error = AnswerError::Closed(io::ErrorKind::UnexpectedEof.into());
+            return Ok(self.stream_broke(&error, flight, reply));
+        }
         if !reply.head_written {
             let headers = node.platform.dialect.forwarded_headers(&answer.head);
             reply.begin(answer.head.status, headers)?;
--- a/crates/cumin-serve/src/connection.rs
+++ b/crates/cumin-serve/src/connection.rs
@@ -84,6 +84,8 @@
     connection: Connection,
     body: Body,
     keep_alive: bool,
+    /// Whether the body has no framing and ends with the connection.
+    pub(crate) until_close: bool,
     pub(crate) head: ResponseHead,
 }
 
@@ -177,6 +179,7 @@
                 let body = unread_body(codec, &head, without_body);
                 return Ok(Answer {
                     connection: self,
+                    until_close: matches!(body, Body::UntilClose),
                     body,
                     keep_alive,
                     head,
--- a/crates/cumin-serve/tests/all/unframed.rs
+++ b/crates/cumin-serve/tests/all/unframed.rs
@@ -65,7 +65,6 @@
 /// An engine that crashes before the first event ends the connection as a whole stream would; its
 /// empty stream passed for a complete one.
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 28"]
 fn no_event() {
     run(async {
         let script = vec![head(200), Step::Wait(20), Step::Close];
