Quarantine prompt parts that crash engines, and check at once whether one crashed

Cause: a suspect was one request, by a hash of organisation, path and body, so crashes under different requests never added up.

Change: each part that other prompts may share is a suspect too, together with the parts that it occurred with at every crash, so that a request with some of them only still runs. The suspect of the most crashes explains them; others answer for the rest. A suspect that completes, or runs a second past its first event, is cleared everywhere. A connection to the engine right after a break tells a crash from a lost answer, and a retry waits for that. Crashes of engines that announced to leave do not count. One node lets a single request run from time to time, since what is refused can't be cleared: an outage of all engines would have locked out everything in frequent use (suspects::all_endpoints, also for plain look-ups, where this was so before).

--- a/crates/cumin-entry/src/suspects.rs
+++ b/crates/cumin-entry/src/suspects.rs
@@ -1,34 +1,63 @@
-//! Requests that crash the endpoints that run them.
+//! Requests, and parts of prompts, that crash the endpoints that run them.
 //!
 //! Load pattern: a request that crashes its endpoint is sent again, with the same path, caller and
 //! body, to any node. A request whose attempt broke off is a suspect of a crash if its endpoint
 //! cannot be reached soon after. Nodes tell each other which crashes each suspect was involved in,
-//! so that a crash seen by several nodes counts once. A suspect of three crashes is refused.
+//! so that a crash seen by several nodes counts once.
 //!
-//! Load pattern: many identical requests, some of which are in progress at every endpoint that
-//! crashes. Once one of them completes at any node, all nodes clear the request of the crashes known
-//! at that time. The quarantine of `cumin-retry` isolates suspects from each other instead; callers
-//! here wait for a few seconds only, and a third crash costs less than that wait.
+//! Load pattern: requests that share one part of their prompts crash every endpoint that begins to
+//! answer them, and no two of them are alike. Besides the request itself, each part that other
+//! prompts may share is therefore a suspect. Sound requests share the other parts, so a part is
+//! blamed together with the parts that it occurred with at every crash: a request that holds only
+//! some of them runs, and either clears those or leaves a shorter list.
+//!
+//! Load pattern: many sound requests, some of which are in progress at every endpoint that crashes.
+//! Once one of them completes at any node, all nodes clear its suspects of the crashes known at that
+//! time. Only requests that had not begun long before the crash are suspects. The quarantine of
+//! `cumin-retry` isolates suspects from each other instead; callers here wait for a few seconds
+//! only, and a third crash costs less than that wait.
+
+mod quarantine;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use cumin_types::{EndpointName, Millis, score};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// Number of crashes after which a request is refused.
-pub const CRASH_LIMIT: usize = 3;
+use crate::selection::{Part, shared_parts};
+
+pub use quarantine::{Admission, CRASH_LIMIT, Quarantined};
 
 /// Time after an attempt broke off within which its endpoint counts as crashed if it cannot be
 /// reached.
 const CRASH_WINDOW: Millis = Millis(2000);
 
+/// Time from the first event of a stream within which a crash may be due to it: a request that
+/// crashes endpoints does so when its answer begins.
+pub const BEGIN_WINDOW: Millis = Millis(1000);
+
 /// Time after which a suspicion without news expires; callers retry within seconds.
 const SUSPECT_TTL: Millis = Millis(120_000);
 
-/// Maximum number of suspects in a digest; those of the most crashes go first.
+/// Time for which a request or a part counts as sound after it completed.
+const SOUND_TTL: Millis = Millis(30_000);
+
+/// Maximum number of requests and parts that are remembered as sound.
+const MAX_SOUND: usize = 4096;
+
+/// Maximum number of suspects of each kind in a digest: half of them those of the most crashes,
+/// the others those that changed last.
 const MAX_STATED: usize = 32;
 
+/// Maximum number of crashes that are kept and stated for a suspect, newest first.
+const MAX_CRASHES: usize = 64;
+const MAX_STATED_CRASHES: usize = 16;
+
+/// Maximum number of parts of a prompt that become suspects, from the first on.
+const MAX_PARTS: usize = 16;
+
 /// Fingerprint of a request: a hash of its organisation, path and body.
 #[derive(
     Clone, Copy, derive_more::Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -57,7 +86,44 @@
     }
 }
 
-/// A suspect as stated in a digest.
+/// What may cause a crash.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Suspect {
+    /// A request, and those equal to it.
+    #[display("{_0:?}")]
+    Request(Fingerprint),
+    /// A part of prompts, by its identifier.
+    #[display("part:{_0:x}")]
+    Part(u64),
+}
+
+/// The suspects that one request stands for if its endpoint crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspicion {
+    /// The request itself.
+    pub fingerprint: Fingerprint,
+    /// Identifiers of the parts of its prompt that others may share.
+    pub parts: Vec<u64>,
+}
+
+impl Suspicion {
+    /// Returns the suspects of a request with the parts `parts`, of which the last is its own.
+    #[must_use]
+    pub fn new(fingerprint: Fingerprint, parts: &[Part]) -> Self {
+        let shared = shared_parts(parts).iter().take(MAX_PARTS);
+        Self {
+            fingerprint,
+            parts: shared.map(|part| part.id).collect(),
+        }
+    }
+
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        let parts = self.parts.iter().map(|part| Suspect::Part(*part));
+        std::iter::once(Suspect::Request(self.fingerprint)).chain(parts)
+    }
+}
+
+/// A request as stated in a digest.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StatedSuspect {
@@ -72,137 +138,292 @@
     pub age: Millis,
 }
 
-/// The crashes of one suspected request.
+/// A part of prompts as stated in a digest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatedPart {
+    /// Identifier of the part.
+    pub part: u64,
+    /// Crashes that it was involved in, each with the other parts that it occurred with.
+    pub crashes: Vec<(CrashId, Vec<u64>)>,
+    /// Crashes that the part is cleared of.
+    pub cleared: Vec<CrashId>,
+    /// Time since either list grew.
+    pub age: Millis,
+}
+
+/// The suspects that a digest states.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Stated {
+    /// Requests.
+    pub requests: Vec<StatedSuspect>,
+    /// Parts of prompts.
+    pub parts: Vec<StatedPart>,
+}
+
+/// A crash in the record of a suspect.
+#[derive(Clone, Debug)]
+struct Involvement {
+    /// Time at which this node learned of it.
+    since: Millis,
+    /// Other parts that were in all requests with the suspect at this crash.
+    with: BTreeSet<u64>,
+}
+
+/// The crashes of one suspect.
 #[derive(Clone, Debug, Default)]
-struct Suspect {
-    crashes: BTreeSet<CrashId>,
+struct SuspectRecord {
+    crashes: BTreeMap<CrashId, Involvement>,
     cleared: BTreeSet<CrashId>,
     /// Time at which either set last grew.
     changed: Millis,
+    /// Time at which this node last let a request run in spite of its quarantine.
+    tried: Option<Millis>,
 }
 
-impl Suspect {
+impl SuspectRecord {
     fn age(&self, now: Millis) -> Millis {
         Millis(now.since(self.changed))
     }
 
-    /// Returns the number of crashes that the request is not cleared of.
-    fn open_crashes(&self) -> usize {
-        self.crashes.difference(&self.cleared).count()
+    /// Returns the crashes that the suspect is not cleared of.
+    fn open(&self) -> impl Iterator<Item = (&CrashId, &Involvement)> {
+        let crashes = self.crashes.iter();
+        crashes.filter(|(id, _)| !self.cleared.contains(id))
+    }
+
+    fn open_count(&self) -> usize {
+        self.open().count()
+    }
+
+    /// Adds a crash, and returns whether this changed the record.
+    fn involve(&mut self, id: CrashId, with: &[u64], now: Millis) -> bool {
+        if let Some(known) = self.crashes.get_mut(&id) {
+            let before = known.with.len();
+            known.with.retain(|part| with.contains(part));
+            return known.with.len() < before;
+        }
+        let involvement = Involvement {
+            since: now,
+            with: with.iter().copied().collect(),
+        };
+        self.crashes.insert(id, involvement);
+        if self.crashes.len() > MAX_CRASHES
+            && let Some(oldest) = self.newest_crashes().last().copied()
+        {
+            self.crashes.remove(&oldest);
+            self.cleared.remove(&oldest);
+        }
+        true
+    }
+
+    fn newest_crashes(&self) -> Vec<CrashId> {
+        let mut ids: Vec<_> = self.crashes.keys().copied().collect();
+        ids.sort_by_key(|id| Reverse(self.crashes.get(id).map(|crash| crash.since)));
+        ids
     }
 }
 
+/// An attempt that broke off, perhaps because its endpoint crashed.
+#[derive(Clone, Debug)]
+struct BrokenAttempt {
+    suspicion: Suspicion,
+    started_ms: u64,
+    at: Millis,
+}
+
 /// The suspects that one node knows.
 #[derive(Debug, Default)]
 pub struct Suspects {
     /// Attempts that broke off recently, by endpoint.
     broken: HashMap<EndpointName, Vec<BrokenAttempt>>,
     /// Suspects of this node and of its peers.
-    known: BTreeMap<Fingerprint, Suspect>,
-}
-
-/// An attempt that broke off, perhaps because its endpoint crashed.
-#[derive(Clone, Copy, Debug)]
-struct BrokenAttempt {
-    fingerprint: Fingerprint,
-    started_ms: u64,
-    at: Millis,
+    known: BTreeMap<Suspect, SuspectRecord>,
+    /// Suspects with which requests completed at this node, and when the last one did.
+    sound: HashMap<Suspect, Millis>,
+    /// What is refused, as of the last review.
+    quarantined: Vec<Quarantined>,
 }
 
 impl Suspects {
-    /// Records that an attempt at an endpoint broke off. `started_ms` is the endpoint's start.
+    /// Records that an attempt at an endpoint broke off before, or soon after, its answer began.
+    /// `started_ms` is the endpoint's start.
     pub fn attempt_broke(
         &mut self,
         endpoint: &EndpointName,
         started_ms: u64,
-        fingerprint: Fingerprint,
+        suspicion: Suspicion,
         now: Millis,
     ) {
         let attempts = self.broken.entry(endpoint.clone()).or_default();
         attempts.retain(|broken| now.since(broken.at) < CRASH_WINDOW.0);
         attempts.push(BrokenAttempt {
-            fingerprint,
+            suspicion,
             started_ms,
             at: now,
         });
     }
 
-    /// Records that an endpoint cannot be reached, and returns the suspects of its crash.
-    pub fn endpoint_unreachable(
-        &mut self,
-        endpoint: &EndpointName,
-        now: Millis,
-    ) -> BTreeSet<Fingerprint> {
+    /// Records that an endpoint cannot be reached, and returns the suspicions of its crash.
+    pub fn endpoint_unreachable(&mut self, endpoint: &EndpointName, now: Millis) -> Vec<Suspicion> {
         let attempts = self.broken.remove(endpoint).unwrap_or_default();
-        self.known
-            .retain(|_, suspect| suspect.age(now) < SUSPECT_TTL);
-        let mut fingerprints = BTreeSet::new();
+        self.known.retain(|_, record| record.age(now) < SUSPECT_TTL);
+        let mut suspicions = Vec::new();
         for broken in attempts {
             if now.since(broken.at) < CRASH_WINDOW.0 {
-                let suspect = self.known.entry(broken.fingerprint).or_default();
-                suspect
-                    .crashes
-                    .insert(CrashId::new(endpoint, broken.started_ms));
-                suspect.changed = now;
-                fingerprints.insert(broken.fingerprint);
+                let id = CrashId::new(endpoint, broken.started_ms);
+                self.involve(&broken.suspicion, id, now);
+                suspicions.push(broken.suspicion);
             }
         }
-        fingerprints
+        suspicions
     }
 
-    /// Records that a request completed, which clears it of the crashes known so far.
-    pub fn completed(&mut self, fingerprint: Fingerprint, now: Millis) {
-        if let Some(suspect) = self.known.get_mut(&fingerprint)
-            && suspect.open_crashes() > 0
-        {
-            suspect.cleared.extend(&suspect.crashes);
-            suspect.changed = now;
+    fn involve(&mut self, suspicion: &Suspicion, id: CrashId, now: Millis) {
+        for suspect in suspicion.suspects() {
+            let with: Vec<u64> = match suspect {
+                Suspect::Request(_) => Vec::new(),
+                Suspect::Part(own) => {
+                    let others = suspicion.parts.iter().copied();
+                    others.filter(|part| *part != own).collect()
+                }
+            };
+            let record = self.known.entry(suspect).or_default();
+            if record.involve(id, &with, now) {
+                record.changed = now;
+            }
+        }
+    }
+
+    /// Records that an endpoint accepts connections: what broke off there was no crash.
+    pub fn endpoint_reachable(&mut self, endpoint: &EndpointName) {
+        self.broken.remove(endpoint);
+    }
+
+    /// Records that a request completed, or ran well past its beginning, which clears its suspects
+    /// of the crashes known so far.
+    pub fn ran(&mut self, suspicion: &Suspicion, now: Millis) {
+        for suspect in suspicion.suspects() {
+            if let Some(record) = self.known.get_mut(&suspect)
+                && record.open_count() > 0
+            {
+                record.cleared.extend(record.crashes.keys());
+                record.changed = now;
+            }
+        }
+        // A request with a prompt is hardly ever sent again; its parts are.
+        let has_parts = !suspicion.parts.is_empty();
+        let kept = suspicion.suspects().skip(usize::from(has_parts));
+        for suspect in kept {
+            if self.sound.len() >= MAX_SOUND {
+                self.sound.retain(|_, at| now.since(*at) < SOUND_TTL.0);
+            }
+            if self.sound.len() < MAX_SOUND || self.sound.contains_key(&suspect) {
+                self.sound.insert(suspect, now);
+            }
         }
     }
 
-    /// Returns the number of crashes that a request was involved in and is not cleared of.
+    /// Returns the number of crashes that a suspect was involved in and is not cleared of.
     #[must_use]
-    pub fn crashes(&self, fingerprint: Fingerprint, now: Millis) -> usize {
-        let suspect = self.known.get(&fingerprint);
-        let suspect = suspect.filter(|suspect| suspect.age(now) < SUSPECT_TTL);
-        suspect.map_or(0, Suspect::open_crashes)
+    pub fn crashes(&self, suspect: Suspect, now: Millis) -> usize {
+        let record = self.known.get(&suspect);
+        let record = record.filter(|record| record.age(now) < SUSPECT_TTL);
+        record.map_or(0, SuspectRecord::open_count)
     }
 
     /// Returns the number of suspects that this node knows.
     #[must_use]
     pub fn count(&self, now: Millis) -> usize {
         let known = self.known.values();
-        known
-            .filter(|suspect| suspect.age(now) < SUSPECT_TTL)
-            .count()
+        known.filter(|record| record.age(now) < SUSPECT_TTL).count()
     }
 
     /// Returns the suspects to state in a digest.
     #[must_use]
-    pub fn stated(&self, now: Millis) -> Vec<StatedSuspect> {
+    pub fn stated(&self, now: Millis) -> Stated {
+        let mut stated = Stated::default();
         let known = self.known.iter();
-        let mut known: Vec<_> = known.filter(|(_, s)| s.age(now) < SUSPECT_TTL).collect();
-        known.sort_by_key(|(_, suspect)| Reverse((suspect.open_crashes(), suspect.changed)));
-        let stated = known
+        let live = known.filter(|(_, record)| record.age(now) < SUSPECT_TTL);
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            live.partition(|(suspect, _)| matches!(suspect, Suspect::Request(_)));
+        for (suspect, record) in most_relevant(requests)
             .into_iter()
-            .take(MAX_STATED)
-            .map(|(fingerprint, suspect)| StatedSuspect {
-                fingerprint: *fingerprint,
-                crashes: suspect.crashes.iter().copied().collect(),
-                cleared: suspect.cleared.iter().copied().collect(),
-                age: suspect.age(now),
-            });
-        stated.collect()
+            .chain(most_relevant(parts))
+        {
+            let mut ids = record.newest_crashes();
+            ids.truncate(MAX_STATED_CRASHES);
+            let cleared = ids.iter().filter(|id| record.cleared.contains(id));
+            let cleared = cleared.copied().collect();
+            let age = record.age(now);
+            match *suspect {
+                Suspect::Request(fingerprint) => stated.requests.push(StatedSuspect {
+                    fingerprint,
+                    crashes: ids,
+                    cleared,
+                    age,
+                }),
+                Suspect::Part(part) => {
+                    let with = |id: CrashId| {
+                        let crash = record.crashes.get(&id)?;
+                        Some((id, crash.with.iter().copied().collect()))
+                    };
+                    stated.parts.push(StatedPart {
+                        part,
+                        crashes: ids.into_iter().filter_map(with).collect(),
+                        cleared,
+                        age,
+                    });
+                }
+            }
+        }
+        stated
     }
 
     /// Merges the suspects that a peer states. Merging twice or late is harmless.
-    pub fn merge_peer(&mut self, stated: &[StatedSuspect], now: Millis) {
-        for item in stated.iter().filter(|item| item.age < SUSPECT_TTL) {
-            let suspect = self.known.entry(item.fingerprint).or_default();
-            suspect.crashes.extend(&item.crashes);
-            suspect.cleared.extend(&item.cleared);
-            // The stated age counts, so that nodes do not keep a suspect alive by repeating it.
-            suspect.changed = suspect.changed.max(Millis(now.since(item.age)));
+    pub fn merge_peer(&mut self, requests: &[StatedSuspect], parts: &[StatedPart], now: Millis) {
+        for item in requests.iter().filter(|item| item.age < SUSPECT_TTL) {
+            let crashes = item.crashes.iter().map(|id| (*id, [].as_slice()));
+            let suspect = Suspect::Request(item.fingerprint);
+            self.merge(suspect, crashes, &item.cleared, item.age, now);
         }
+        for item in parts.iter().filter(|item| item.age < SUSPECT_TTL) {
+            let crashes = item.crashes.iter();
+            let crashes = crashes.map(|(id, with)| (*id, with.as_slice()));
+            let suspect = Suspect::Part(item.part);
+            self.merge(suspect, crashes, &item.cleared, item.age, now);
+        }
+    }
+
+    fn merge<'a>(
+        &mut self,
+        suspect: Suspect,
+        crashes: impl Iterator<Item = (CrashId, &'a [u64])>,
+        cleared: &[CrashId],
+        age: Millis,
+        now: Millis,
+    ) {
+        let record = self.known.entry(suspect).or_default();
+        for (id, with) in crashes {
+            record.involve(id, with, now);
+        }
+        let crashes = &record.crashes;
+        let known = cleared.iter().filter(|id| crashes.contains_key(id));
+        record.cleared.extend(known);
+        // The stated age counts, so that nodes do not keep a suspect alive by repeating it.
+        record.changed = record.changed.max(Millis(now.since(age)));
+    }
+}
+
+/// Returns the suspects of the most crashes, and those that changed last.
+fn most_relevant<'a>(
+    mut known: Vec<(&'a Suspect, &'a SuspectRecord)>,
+) -> Vec<(&'a Suspect, &'a SuspectRecord)> {
+    if known.len() > MAX_STATED {
+        known.sort_by_cached_key(|(_, record)| Reverse((record.open_count(), record.changed)));
+        let rest = &mut known[MAX_STATED / 2..];
+        rest.sort_by_key(|(_, record)| Reverse(record.changed));
+        known.truncate(MAX_STATED);
     }
+    known
 }
--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -8,10 +8,12 @@
 use cumin_entry::document::Table;
 use cumin_entry::platform::CallerRequest;
 use cumin_entry::quota::Verdict;
-use cumin_entry::suspects::{CRASH_LIMIT, Fingerprint};
+use cumin_entry::selection::{PartList, shared_parts};
+use cumin_entry::suspects::{Admission, Fingerprint, Quarantined, Suspicion};
 use cumin_types::{Millis, Service, score};
 
 use crate::caller::{Inbound, Reply, ReplyEnd};
+use crate::crash;
 use crate::metrics::ReasonLabel;
 use crate::node::Node;
 use crate::request::ActiveRequest;
@@ -139,15 +141,8 @@
     }
     let name = org.map_or("", |org| org.name.as_str());
     let fingerprint = Fingerprint::new(name, path, &inbound.body);
-    let crashes = node.suspects.borrow().crashes(fingerprint, now);
-    if crashes >= CRASH_LIMIT {
-        let detail = format!("crashes={crashes} request={fingerprint:?}");
-        return Err(Refusal::unavailable(
-            DEFAULT_TIMEOUT,
-            "crashes_endpoints",
-            detail,
-        ));
-    }
+    let suspicion = Suspicion::new(fingerprint, &request.parts);
+    check_suspects(node, &request, &suspicion)?;
     let limit = route.timeout.into_iter().chain(request.timeout).min();
     let deadline = inbound.received_at.plus(limit.unwrap_or(DEFAULT_TIMEOUT).0);
     let id = request.id.clone().unwrap_or_default();
@@ -185,7 +180,7 @@
         service,
         spec: table.service(service),
         deadline,
-        fingerprint,
+        suspicion,
         attempts_sent: 0,
         tried: Vec::new(),
         estimate_ms: 0.0,
@@ -193,8 +188,43 @@
     })
 }
 
+/// Refuses a request that is suspected of crashing endpoints, unless it runs as a trial.
+fn check_suspects(
+    node: &Node,
+    request: &CallerRequest,
+    suspicion: &Suspicion,
+) -> Result<(), Refusal> {
+    let mut suspects = node.suspects.borrow_mut();
+    let is_chosen = |suspect| crash::makes_trials(node, suspect);
+    match suspects.admit(suspicion, node.now(), is_chosen) {
+        Admission::Free => Ok(()),
+        Admission::Trial => {
+            log::info!(
+                "event=quarantine_trial id={} request={:?} parts={}",
+                request.id.as_deref().unwrap_or_default(),
+                suspicion.fingerprint,
+                PartList(shared_parts(&request.parts))
+            );
+            Ok(())
+        }
+        Admission::Refused(item) => Err(Refusal::unavailable(
+            DEFAULT_TIMEOUT,
+            CRASHES_ENDPOINTS,
+            quarantine_detail(&item),
+        )),
+    }
+}
+
+/// Reason of the refusal of a request that is suspected of crashing endpoints.
+pub(crate) const CRASHES_ENDPOINTS: &str = "crashes_endpoints";
+
+/// Returns the fields that name a quarantined suspect in a log line.
+pub(crate) fn quarantine_detail(item: &Quarantined) -> String {
+    format!("suspect={} crashes={}", item.suspect, item.crashes)
+}
+
 /// Time limit of a request for which neither the route nor the caller sets one.
-const DEFAULT_TIMEOUT: Millis = Millis(60_000);
+pub(crate) const DEFAULT_TIMEOUT: Millis = Millis(60_000);
 
 /// Chooses a service by weight; the same request identifier always maps to the same service.
 fn choose_service<'a>(targets: &'a [(Service, u32)], id: &str) -> Option<&'a Service> {
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -8,18 +8,20 @@
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::platform::{AnswerHead, Attempt};
 use cumin_entry::selection::{AttemptNumber, Need, PartList, shared_parts};
+use cumin_entry::suspects::BEGIN_WINDOW;
 use cumin_types::{EndpointName, Millis, Organisation};
 use tokio::time::Instant;
 
 use crate::caller::{Reply, ReplyEnd};
 use crate::connection::{Answer, AnswerError, Connection, Outbound};
+use crate::crash;
 use crate::events::EventSplitter;
 use crate::node::Node;
 use crate::request::{ActiveRequest, seconds};
 
 /// Timeout of a connection to an endpoint: several times the latency between places, and less than
 /// the second after which a lost SYN is retransmitted.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum size of an answer that is buffered until it is complete.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -59,6 +61,10 @@
     /// Time of the endpoint's start, which tells its incarnations apart.
     started_ms: u64,
     id: AttemptNumber,
+    /// Time of the first event or of the head of the answer.
+    begun: Option<Millis>,
+    /// Whether the request is known not to crash its endpoint.
+    ran: bool,
     /// Whether the endpoint answered completely.
     answered: bool,
 }
@@ -85,15 +91,7 @@
         let connection = match self.acquire(endpoint).await {
             Ok(connection) => connection,
             Err(error) => {
-                endpoint_lost(node, &endpoint.name);
-                let cooldown = node
-                    .selector
-                    .borrow_mut()
-                    .connection_failed(&endpoint.name, node.now());
-                log::info!(
-                    "event=endpoint_unreachable endpoint={} error={error} rest_ms={cooldown}",
-                    endpoint.name
-                );
+                crash::endpoint_unreachable(node, &endpoint.name, &error);
                 return Ok(AttemptEnd::NotSent);
             }
         };
@@ -111,6 +109,8 @@
             endpoint: endpoint.name.clone(),
             started_ms: endpoint.started_ms,
             id,
+            begun: None,
+            ran: false,
             answered: false,
         };
         self.attempts_sent += 1;
@@ -137,10 +137,13 @@
         let exchange = connection.exchange(&node.http_config, outbound, is_own);
         let timeout = self.answer_timeout(need, estimate_ms);
         let answer = match timeout {
-            Some(limit) => match tokio::time::timeout(limit, exchange).await {
-                Ok(answer) => answer,
-                Err(_) => return Ok(AttemptEnd::Broken),
-            },
+            Some(limit) => {
+                let Ok(answer) = tokio::time::timeout(limit, exchange).await else {
+                    self.attempt_broke(&flight);
+                    return Ok(AttemptEnd::Broken);
+                };
+                answer
+            }
             None => exchange.await,
         };
         match answer {
@@ -149,7 +152,7 @@
                     .await
             }
             Err(error) => {
-                self.attempt_failed("attempt_fault", &endpoint.name, &error);
+                self.attempt_failed("attempt_fault", &flight, &error);
                 Ok(AttemptEnd::Broken)
             }
         }
@@ -157,17 +160,53 @@
 
     /// Logs an attempt without a complete answer. An endpoint that sent bytes that are no answer
     /// gets a cooldown: more of them would follow.
-    fn attempt_failed(&self, event: &str, endpoint: &EndpointName, error: &AnswerError) {
+    fn attempt_failed(&self, event: &str, flight: &InFlight<'_>, error: &AnswerError) {
         log::info!(
-            "event={event} id={} endpoint={endpoint} request={:?} parts={} error={error}",
+            "event={event} id={} endpoint={} request={:?} parts={} error={error}",
             self.id(),
-            self.fingerprint,
+            flight.endpoint,
+            self.suspicion.fingerprint,
             PartList(shared_parts(&self.request.parts))
         );
         if matches!(error, AnswerError::Malformed(_)) {
             let now = self.node.now();
             let mut selector = self.node.selector.borrow_mut();
-            selector.connection_failed(endpoint, now);
+            selector.connection_failed(&flight.endpoint, now);
+        }
+        self.attempt_broke(flight);
+    }
+
+    /// Makes the request a suspect in case the endpoint crashed when its answer began.
+    fn attempt_broke(&self, flight: &InFlight<'_>) {
+        let now = self.node.now();
+        let running = flight
+            .begun
+            .is_some_and(|at| now.since(at) > BEGIN_WINDOW.0);
+        if !flight.ran && !running {
+            crash::attempt_broke(
+                self.node,
+                &flight.endpoint,
+                flight.started_ms,
+                &self.suspicion,
+            );
+        }
+        crash::check_endpoint(self.node, &flight.endpoint, None);
+    }
+
+    /// Records that the request ran without crashing its endpoint.
+    ///
+    /// An answer that ended with its connection shows that only if the endpoint is still there.
+    fn request_ran(&self, flight: &mut InFlight<'_>, until_close: bool) {
+        if flight.ran {
+            return;
+        }
+        let node = self.node;
+        if until_close {
+            crash::attempt_broke(node, &flight.endpoint, flight.started_ms, &self.suspicion);
+            crash::check_endpoint(node, &flight.endpoint, Some(&self.suspicion));
+        } else {
+            flight.ran = true;
+            node.suspects.borrow_mut().ran(&self.suspicion, node.now());
         }
     }
 
@@ -201,6 +240,7 @@
                 endpoint,
                 answer.head.status.as_u16()
             );
+            self.attempt_broke(&flight);
             return Ok(AttemptEnd::Broken);
         }
         let is_stream = self.route.kind.is_stream() && answer.head.status.is_success();
@@ -209,7 +249,7 @@
                 .relay_stream(answer, &answer_head, &mut flight, events, reply)
                 .await;
         }
-        self.answer_begun(&flight);
+        self.answer_begun(&mut flight);
         let reading = answer.read_body(MAX_BODY_BYTES);
         let read = match timeout {
             Some(limit) => tokio::time::timeout(limit, reading).await,
@@ -218,7 +258,7 @@
         let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                self.attempt_failed("attempt_fault", &endpoint, &error);
+                self.attempt_failed("attempt_fault", &flight, &error);
                 return Ok(AttemptEnd::Broken);
             }
             Err(_) => {
@@ -226,11 +266,15 @@
                     "event=attempt_fault id={} endpoint={endpoint} error=\"slow body\"",
                     self.id()
                 );
+                self.attempt_broke(&flight);
                 return Ok(AttemptEnd::Broken);
             }
         };
         flight.answered = true;
         let head = Box::new(answer.head.clone());
+        if head.status.is_success() {
+            self.request_ran(&mut flight, answer.until_close);
+        }
         self.release(&endpoint, answer, &answer_head);
         let may_retry = self.route.kind.is_repeatable() && head.status.is_server_error();
         if may_retry && self.attempts_sent < self.route.attempts {
@@ -278,9 +322,10 @@
     }
 
     /// Records that the answer of an attempt has begun.
-    fn answer_begun(&self, flight: &InFlight<'_>) {
+    fn answer_begun(&self, flight: &mut InFlight<'_>) {
         let node = self.node;
         let now = node.now();
+        flight.begun = Some(now);
         node.selector
             .borrow_mut()
             .stream_begun(self.service, &flight.endpoint, flight.id, now);
@@ -357,6 +402,12 @@
                     now,
                 );
             }
+            if flight
+                .begun
+                .is_some_and(|at| now.since(at) > BEGIN_WINDOW.0)
+            {
+                self.request_ran(flight, false);
+            }
             if !reply.head_written {
                 let headers = node.platform.dialect.forwarded_headers(&answer.head);
                 reply.begin(answer.head.status, headers)?;
@@ -377,6 +428,7 @@
             let error = AnswerError::Closed(io::ErrorKind::UnexpectedEof.into());
             return Ok(self.stream_broke(&error, flight, reply));
         }
+        self.request_ran(flight, answer.until_close);
         if !reply.head_written {
             let headers = node.platform.dialect.forwarded_headers(&answer.head);
             reply.begin(answer.head.status, headers)?;
@@ -395,11 +447,8 @@
         flight: &InFlight<'_>,
         reply: &Reply<'_, '_>,
     ) -> AttemptEnd {
-        self.attempt_failed("torn_stream", &flight.endpoint, error);
+        self.attempt_failed("torn_stream", flight, error);
         if reply.head_written && !self.route.kind.is_repeatable() {
-            let now = self.node.now();
-            let mut suspects = self.node.suspects.borrow_mut();
-            suspects.attempt_broke(&flight.endpoint, flight.started_ms, self.fingerprint, now);
             return AttemptEnd::Answered(ReplyEnd::Truncated, "cut_endpoint");
         }
         AttemptEnd::Broken
@@ -435,17 +484,6 @@
     }
 }
 
-/// Records that an endpoint became unreachable, and logs the requests suspected of crashing it.
-pub(crate) fn endpoint_lost(node: &Node, endpoint: &EndpointName) {
-    let mut suspects = node.suspects.borrow_mut();
-    for fingerprint in suspects.endpoint_unreachable(endpoint, node.now()) {
-        log::info!(
-            "event=suspect endpoint={endpoint} request={fingerprint:?} crashes={}",
-            suspects.crashes(fingerprint, node.now())
-        );
-    }
-}
-
 /// Returns whether the endpoint is expected to keep an idle connection open for another request.
 pub(crate) fn is_reusable(connection: &Connection, now: Millis) -> bool {
     let (idle_since, keep_alive) = connection.idle;
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -289,7 +289,7 @@
     for change in &changes {
         log_change(change);
         if let Change::New(name) | Change::Gone(name) = change {
-            crate::attempt::endpoint_lost(node, name);
+            crate::crash::endpoint_lost(node, name);
         }
     }
     if changes.iter().any(|change| *change != Change::None) {
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -11,10 +11,12 @@
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
+use cumin_entry::suspects::StatedPart;
 use cumin_types::Millis;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::crash;
 use crate::feed;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
@@ -62,8 +64,11 @@
         }
         sequence += 1;
         update_from_peers(&node);
-        let digest = own_digest(&node, sequence);
-        let payload = match encode(&digest, &own_extension(&node)) {
+        crash::review(&node);
+        let mut digest = own_digest(&node, sequence);
+        let stated = node.suspects.borrow().stated(node.now());
+        digest.suspects = stated.requests;
+        let payload = match encode(&digest, &own_extension(&node), &stated.parts) {
             Ok(payload) => payload,
             Err(error) => {
                 log::error!("event=digest_unwritten error={error}");
@@ -83,18 +88,27 @@
     }
 }
 
-fn encode(digest: &Digest, extension: &Extension) -> Result<Vec<u8>, postcard::Error> {
+fn encode(
+    digest: &Digest,
+    extension: &Extension,
+    parts: &[StatedPart],
+) -> Result<Vec<u8>, postcard::Error> {
     let payload = postcard::to_stdvec(digest)?;
-    postcard::to_extend(extension, payload)
+    let payload = postcard::to_extend(extension, payload)?;
+    postcard::to_extend(parts, payload)
 }
 
-/// Decodes a datagram; one of an older version ends after the digest.
-fn decode(payload: &[u8]) -> Result<(Digest, Extension), postcard::Error> {
+/// Decodes a datagram; one of an older version ends after the digest or its extension.
+fn decode(payload: &[u8]) -> Result<(Digest, Extension, Vec<StatedPart>), postcard::Error> {
     let (digest, rest) = postcard::take_from_bytes(payload)?;
     if rest.is_empty() {
-        return Ok((digest, Extension::default()));
+        return Ok((digest, Extension::default(), Vec::new()));
     }
-    Ok((digest, postcard::from_bytes(rest)?))
+    let (extension, rest) = postcard::take_from_bytes(rest)?;
+    if rest.is_empty() {
+        return Ok((digest, extension, Vec::new()));
+    }
+    Ok((digest, extension, postcard::from_bytes(rest)?))
 }
 
 fn own_extension(node: &Node) -> Extension {
@@ -157,7 +171,7 @@
             node.usage.borrow().recent(node.usage_window())
         },
         taken: node.quotas.borrow().taken().clone(),
-        suspects: node.suspects.borrow().stated(now),
+        suspects: Vec::new(),
         lease: node.lease.get(),
         busy: selector
             .demand(now)
@@ -212,8 +226,8 @@
             }
         };
         match decode(&buffer[..length]) {
-            Ok((digest, extension)) if digest.node != node.settings.node => {
-                merge(&node, &digest, &extension, from.ip());
+            Ok((digest, extension, parts)) if digest.node != node.settings.node => {
+                merge(&node, &digest, &extension, &parts, from.ip());
             }
             Ok(_) => {}
             Err(error) => log::warn!("event=digest_unreadable from={from} error={error}"),
@@ -221,7 +235,7 @@
     }
 }
 
-fn merge(node: &Node, digest: &Digest, extension: &Extension, from: IpAddr) {
+fn merge(node: &Node, digest: &Digest, extension: &Extension, parts: &[StatedPart], from: IpAddr) {
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
     let live_before = peers.live(now).count();
@@ -246,7 +260,12 @@
     node.usage
         .borrow_mut()
         .merge(&digest.node, digest.incarnation, &digest.usage);
-    node.suspects.borrow_mut().merge_peer(&digest.suspects, now);
+    if !(digest.suspects.is_empty() && parts.is_empty()) {
+        let mut suspects = node.suspects.borrow_mut();
+        suspects.merge_peer(&digest.suspects, parts, now);
+        drop(suspects);
+        crash::review(node);
+    }
     node.quotas
         .borrow_mut()
         .merge_peer(&digest.node, digest.incarnation, &digest.taken, now);
@@ -345,8 +364,9 @@
         .set(i64::try_from(endpoints).unwrap_or(i64::MAX));
     let peers = node.peers.borrow().live(now).count();
     metrics.peers.set(i64::try_from(peers).unwrap_or(i64::MAX));
-    let suspects = node.suspects.borrow().count(now);
-    metrics
-        .suspects
-        .set(i64::try_from(suspects).unwrap_or(i64::MAX));
+    let suspects = node.suspects.borrow();
+    let number = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    metrics.suspects.set(number(suspects.count(now)));
+    let quarantined = suspects.quarantined().len();
+    metrics.quarantined.set(number(quarantined));
 }
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod clock;
 mod connection;
+mod crash;
 mod duty;
 mod events;
 mod feed;
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -54,6 +54,7 @@
     pub(crate) endpoints: Gauge,
     pub(crate) peers: Gauge,
     pub(crate) suspects: Gauge,
+    pub(crate) quarantined: Gauge,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -79,6 +80,7 @@
             endpoints: Gauge::default(),
             peers: Gauge::default(),
             suspects: Gauge::default(),
+            quarantined: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -136,6 +138,11 @@
             "Suspects of crashes that are known",
             m.suspects.clone(),
         );
+        registry.register(
+            "quarantined",
+            "Suspects of crashes that are refused",
+            m.quarantined.clone(),
+        );
         Self {
             registry,
             ..metrics
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 
 use crate::connection::Connection;
+use crate::crash::Check;
 use crate::metrics::Metrics;
 
 /// Adapters of the platform that a node runs on.
@@ -109,6 +110,8 @@
     budgets: RefCell<BTreeMap<Service, RetryBudget>>,
     pub(crate) usage: RefCell<Usage>,
     pub(crate) suspects: RefCell<Suspects>,
+    /// Endpoints of which it is being checked whether they crashed.
+    pub(crate) checks: RefCell<HashMap<EndpointName, Check>>,
     pub(crate) peers: RefCell<Peers>,
     /// Fencing token of the lease that this node holds, and the last known end of the lease stream.
     pub(crate) lease: Cell<Option<(FencingToken, LogOffset)>>,
@@ -147,6 +150,7 @@
             budgets: RefCell::default(),
             usage: RefCell::default(),
             suspects: RefCell::default(),
+            checks: RefCell::default(),
             peers: RefCell::default(),
             lease: Cell::new(None),
             idle_connections: RefCell::default(),
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -11,12 +11,16 @@
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::platform::CallerRequest;
 use cumin_entry::selection::{Choice, Need};
-use cumin_entry::suspects::Fingerprint;
+use cumin_entry::suspects::Suspicion;
 use cumin_types::{EndpointName, Millis, Service};
 
-use crate::admit::{DEFAULT_RETRY_AFTER, MIN_RETRY_AFTER, Refusal, admit, refuse};
+use crate::admit::{
+    CRASHES_ENDPOINTS, DEFAULT_RETRY_AFTER, DEFAULT_TIMEOUT, MIN_RETRY_AFTER, Refusal, admit,
+    quarantine_detail, refuse,
+};
 use crate::attempt::AttemptEnd;
 use crate::caller::{Inbound, Reply, ReplyEnd};
+use crate::crash;
 use crate::events::EventSplitter;
 use crate::metrics::{ReasonLabel, RequestLabels};
 use crate::node::Node;
@@ -35,7 +39,7 @@
     pub(crate) spec: Option<&'a ServiceSpec>,
     /// Time at which the limit of the caller or of the route expires.
     pub(crate) deadline: Millis,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) suspicion: Suspicion,
     /// Number of attempts that were sent; raised to the route's maximum to rule out a retry.
     pub(crate) attempts_sent: u32,
     /// Endpoints that were chosen so far, in order.
@@ -221,16 +225,7 @@
                 );
             }
             match attempt_end {
-                AttemptEnd::Answered(end, outcome) => {
-                    if outcome == "done" {
-                        let now = self.node.now();
-                        self.node
-                            .suspects
-                            .borrow_mut()
-                            .completed(self.fingerprint, now);
-                    }
-                    return Ok((end, outcome));
-                }
+                AttemptEnd::Answered(end, outcome) => return Ok((end, outcome)),
                 AttemptEnd::NotSent => {
                     failed_connections += 1;
                     if failed_connections >= MAX_FAILED_CONNECTIONS {
@@ -240,15 +235,9 @@
                 AttemptEnd::NotRun => {}
                 AttemptEnd::Broken => {
                     may_have_run = true;
-                    let now = self.node.now();
-                    let mut suspects = self.node.suspects.borrow_mut();
-                    suspects.attempt_broke(
-                        &endpoint.name,
-                        endpoint.started_ms,
-                        self.fingerprint,
-                        now,
-                    );
-                    if !self.route.kind.is_repeatable() {
+                    if self.route.kind.is_repeatable() {
+                        crash::wait_for_check(self.node, &endpoint.name).await;
+                    } else {
                         self.attempts_sent = self.attempts_sent.max(self.route.attempts);
                     }
                 }
@@ -271,6 +260,11 @@
                 format!("sends={}", self.attempts_sent),
             ));
         }
+        if let Some(suspect) = self.node.suspects.borrow().refused(&self.suspicion) {
+            let detail = quarantine_detail(suspect);
+            log::info!("event=retry_refused id={} {detail}", self.id());
+            return Err((DEFAULT_TIMEOUT, CRASHES_ENDPOINTS, detail));
+        }
         let fleet = self.node.fleet.borrow();
         let mut selector = self.node.selector.borrow_mut();
         let bounded =
