--- a/crates/cumin-entry/src/suspects.rs
+++ b/crates/cumin-entry/src/suspects.rs
@@ -230,6 +230,8 @@
     suspicion: Suspicion,
     started_ms: u64,
     at: Millis,
+    /// Whether the endpoint accepted a connection afterwards.
+    alive: bool,
 }
 
 /// The suspects that one node knows.
@@ -261,11 +263,20 @@
             suspicion,
             started_ms,
             at: now,
+            alive: false,
         });
     }
 
     /// Records that an endpoint cannot be reached, and returns the suspicions of its crash.
     pub fn endpoint_unreachable(&mut self, endpoint: &EndpointName, now: Millis) -> Vec<Suspicion> {
+        if let Some(attempts) = self.broken.get_mut(endpoint) {
+            attempts.retain(|broken| !broken.alive);
+        }
+        self.endpoint_restarted(endpoint, now)
+    }
+
+    /// Records that an endpoint has started again, and returns the suspicions of its crash.
+    pub fn endpoint_restarted(&mut self, endpoint: &EndpointName, now: Millis) -> Vec<Suspicion> {
         let attempts = self.broken.remove(endpoint).unwrap_or_default();
         self.known.retain(|_, record| record.age(now) < SUSPECT_TTL);
         let mut suspicions = Vec::new();
@@ -295,9 +306,12 @@
         }
     }
 
-    /// Records that an endpoint accepts connections: what broke off there was no crash.
+    /// Records that an endpoint accepts connections: what broke off there was no crash, unless the
+    /// endpoint turns out to have started again.
     pub fn endpoint_reachable(&mut self, endpoint: &EndpointName) {
-        self.broken.remove(endpoint);
+        for broken in self.broken.get_mut(endpoint).into_iter().flatten() {
+            broken.alive = true;
+        }
     }
 
     /// Records that a request completed, or ran well past its beginning, which clears its suspects
--- a/crates/cumin-entry/tests/all/suspects.rs
+++ b/crates/cumin-entry/tests/all/suspects.rs
@@ -143,6 +143,14 @@
     suspects.endpoint_reachable(&"e1".into());
     let cleared = suspects.endpoint_unreachable(&"e1".into(), Millis(9100));
     assert!(cleared.is_empty());
+    suspects.attempt_broke(&"e1".into(), 1, plain(fingerprint), Millis(9200));
+    suspects.endpoint_reachable(&"e1".into());
+    let restarted = suspects.endpoint_restarted(&"e1".into(), Millis(9300));
+    assert_eq!(
+        restarted.len(),
+        1,
+        "it was reachable again because it had restarted"
+    );
 }
 
 /// Requests that differ in organisation, path or body must have different fingerprints.
--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -5,6 +5,7 @@
 //! quickly or get little traffic.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,10 @@
 /// connection is known after a round trip.
 const CHECK_WAIT: Duration = Duration::from_millis(50);
 
+/// Time after which a new connection shows whether the endpoint is there: a proxy in front of it
+/// accepts connections before it finds that the endpoint is gone.
+const ACCEPT_TIME: Duration = Duration::from_millis(10);
+
 /// A check of an endpoint in progress.
 #[derive(Default)]
 pub(crate) struct Check {
@@ -60,7 +65,7 @@
     let (node, endpoint) = (node.clone(), endpoint.clone());
     actix_rt::spawn(async move {
         node.metrics.connections.inc();
-        let connected = Connection::connect(address, CONNECT_TIMEOUT).await;
+        let connected = connect(address).await;
         let Some(check) = node.checks.borrow_mut().remove(&endpoint) else {
             return;
         };
@@ -72,6 +77,17 @@
     });
 }
 
+/// Opens a connection, and fails if it is closed at once.
+async fn connect(address: SocketAddr) -> io::Result<Connection> {
+    let connection = Connection::connect(address, CONNECT_TIMEOUT).await?;
+    tokio::time::sleep(ACCEPT_TIME).await;
+    if connection.is_open() {
+        Ok(connection)
+    } else {
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+}
+
 /// Waits for the check of an endpoint, if one is in progress.
 pub(crate) async fn wait_for_check(node: &Node, endpoint: &EndpointName) {
     let done = {
@@ -114,11 +130,26 @@
     log::info!("event=endpoint_unreachable endpoint={endpoint} error={error} rest_ms={cooldown}");
 }
 
-/// Records that an endpoint is gone, and logs the requests suspected of crashing it.
+/// Records that an endpoint is gone.
 pub(crate) fn endpoint_lost(node: &Node, endpoint: &EndpointName) {
-    let now = node.now();
     let mut suspects = node.suspects.borrow_mut();
-    let suspicions = suspects.endpoint_unreachable(endpoint, now);
+    let suspicions = suspects.endpoint_unreachable(endpoint, node.now());
+    drop(suspects);
+    log_suspicions(node, endpoint, suspicions);
+}
+
+/// Records that an endpoint was registered with another start.
+pub(crate) fn endpoint_restarted(node: &Node, endpoint: &EndpointName) {
+    let mut suspects = node.suspects.borrow_mut();
+    let suspicions = suspects.endpoint_restarted(endpoint, node.now());
+    drop(suspects);
+    log_suspicions(node, endpoint, suspicions);
+}
+
+/// Logs the requests suspected of a crash, and decides what is refused because of it.
+fn log_suspicions(node: &Node, endpoint: &EndpointName, suspicions: Vec<Suspicion>) {
+    let now = node.now();
+    let suspects = node.suspects.borrow();
     if suspicions.is_empty() {
         return;
     }
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -288,8 +288,10 @@
     changes.extend(fleet.remove_expired(now));
     for change in &changes {
         log_change(change);
-        if let Change::New(name) | Change::Gone(name) = change {
-            crate::crash::endpoint_lost(node, name);
+        match change {
+            Change::New(name) => crate::crash::endpoint_restarted(node, name),
+            Change::Gone(name) => crate::crash::endpoint_lost(node, name),
+            _ => {}
         }
     }
     if changes.iter().any(|change| *change != Change::None) {
