Keep quarantined suspects in the store

Suspects lived in the memory of the entries. The entry that makes the trials of a suspect now writes it to the store when it is quarantined and removes the record at the end; entries list these records when they start. That costs one call to the store a start and one a suspect.

--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -35,6 +35,9 @@
     /// The lease of the duties, and the usage reports of its holders.
     #[display("duty")]
     Duty,
+    /// Suspects of crashes that are refused, keyed by suspect.
+    #[display("quarantine")]
+    Quarantine,
 }
 
 /// A record of a stream.
--- a/crates/cumin-entry/src/suspects.rs
+++ b/crates/cumin-entry/src/suspects.rs
@@ -152,8 +152,9 @@
     pub age: Millis,
 }
 
-/// The suspects that a digest states.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// The suspects that a digest, or a record of the store, states.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Stated {
     /// Requests.
     pub requests: Vec<StatedSuspect>,
@@ -217,6 +218,34 @@
         true
     }
 
+    fn state(&self, suspect: Suspect, now: Millis, stated: &mut Stated) {
+        let mut ids = self.newest_crashes();
+        ids.truncate(MAX_STATED_CRASHES);
+        let cleared = ids.iter().filter(|id| self.cleared.contains(id));
+        let cleared = cleared.copied().collect();
+        let age = self.age(now);
+        match suspect {
+            Suspect::Request(fingerprint) => stated.requests.push(StatedSuspect {
+                fingerprint,
+                crashes: ids,
+                cleared,
+                age,
+            }),
+            Suspect::Part(part) => {
+                let with = |id: CrashId| {
+                    let crash = self.crashes.get(&id)?;
+                    Some((id, crash.with.iter().copied().collect()))
+                };
+                stated.parts.push(StatedPart {
+                    part,
+                    crashes: ids.into_iter().filter_map(with).collect(),
+                    cleared,
+                    age,
+                });
+            }
+        }
+    }
+
     fn newest_crashes(&self) -> Vec<CrashId> {
         let mut ids: Vec<_> = self.crashes.keys().copied().collect();
         ids.sort_by_key(|id| Reverse(self.crashes.get(id).map(|crash| crash.since)));
@@ -365,35 +394,33 @@
             .into_iter()
             .chain(most_relevant(parts))
         {
-            let mut ids = record.newest_crashes();
-            ids.truncate(MAX_STATED_CRASHES);
-            let cleared = ids.iter().filter(|id| record.cleared.contains(id));
-            let cleared = cleared.copied().collect();
-            let age = record.age(now);
-            match *suspect {
-                Suspect::Request(fingerprint) => stated.requests.push(StatedSuspect {
-                    fingerprint,
-                    crashes: ids,
-                    cleared,
-                    age,
-                }),
-                Suspect::Part(part) => {
-                    let with = |id: CrashId| {
-                        let crash = record.crashes.get(&id)?;
-                        Some((id, crash.with.iter().copied().collect()))
-                    };
-                    stated.parts.push(StatedPart {
-                        part,
-                        crashes: ids.into_iter().filter_map(with).collect(),
-                        cleared,
-                        age,
-                    });
-                }
-            }
+            record.state(*suspect, now, &mut stated);
         }
         stated
     }
 
+    /// Returns one suspect as it is stated; nothing if it is not known.
+    #[must_use]
+    pub fn stated_suspect(&self, suspect: Suspect, now: Millis) -> Stated {
+        let mut stated = Stated::default();
+        if let Some(record) = self.known.get(&suspect) {
+            record.state(suspect, now, &mut stated);
+        }
+        stated
+    }
+
+    /// Merges a suspect that was stated `since` ago.
+    pub fn merge_stored(&mut self, stated: &Stated, since: Millis, now: Millis) {
+        let mut stated = stated.clone();
+        for item in &mut stated.requests {
+            item.age = item.age.plus(since.0);
+        }
+        for item in &mut stated.parts {
+            item.age = item.age.plus(since.0);
+        }
+        self.merge_peer(&stated.requests, &stated.parts, now);
+    }
+
     /// Merges the suspects that a peer states. Merging twice or late is harmless.
     pub fn merge_peer(&mut self, requests: &[StatedSuspect], parts: &[StatedPart], now: Millis) {
         for item in requests.iter().filter(|item| item.age < SUSPECT_TTL) {
--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -16,6 +16,7 @@
 use crate::attempt::CONNECT_TIMEOUT;
 use crate::connection::Connection;
 use crate::node::Node;
+use crate::quarantine;
 
 /// Maximum time that a retry waits until it is known whether the last endpoint crashed. A refused
 /// connection is known after a round trip.
@@ -123,7 +124,7 @@
 }
 
 /// Records that an endpoint refuses connections, and gives it a cooldown.
-pub(crate) fn endpoint_unreachable(node: &Node, endpoint: &EndpointName, error: &io::Error) {
+pub(crate) fn endpoint_unreachable(node: &Rc<Node>, endpoint: &EndpointName, error: &io::Error) {
     endpoint_lost(node, endpoint);
     let mut selector = node.selector.borrow_mut();
     let cooldown = selector.connection_failed(endpoint, node.now());
@@ -131,7 +132,7 @@
 }
 
 /// Records that an endpoint is gone.
-pub(crate) fn endpoint_lost(node: &Node, endpoint: &EndpointName) {
+pub(crate) fn endpoint_lost(node: &Rc<Node>, endpoint: &EndpointName) {
     let mut suspects = node.suspects.borrow_mut();
     let suspicions = suspects.endpoint_unreachable(endpoint, node.now());
     drop(suspects);
@@ -139,7 +140,7 @@
 }
 
 /// Records that an endpoint was registered with another start.
-pub(crate) fn endpoint_restarted(node: &Node, endpoint: &EndpointName) {
+pub(crate) fn endpoint_restarted(node: &Rc<Node>, endpoint: &EndpointName) {
     let mut suspects = node.suspects.borrow_mut();
     let suspicions = suspects.endpoint_restarted(endpoint, node.now());
     drop(suspects);
@@ -147,7 +148,7 @@
 }
 
 /// Logs the requests suspected of a crash, and decides what is refused because of it.
-fn log_suspicions(node: &Node, endpoint: &EndpointName, suspicions: Vec<Suspicion>) {
+fn log_suspicions(node: &Rc<Node>, endpoint: &EndpointName, suspicions: Vec<Suspicion>) {
     let now = node.now();
     let suspects = node.suspects.borrow();
     if suspicions.is_empty() {
@@ -170,8 +171,8 @@
     review(node);
 }
 
-/// Returns whether this node makes the trials of a quarantined suspect: one of the live nodes does,
-/// another one for each suspect.
+/// Returns whether this node makes the trials of a quarantined suspect, and keeps its record: one of
+/// the live nodes does, another one for each suspect.
 pub(crate) fn makes_trials(node: &Node, suspect: Suspect) -> bool {
     let key = suspect.to_string();
     let weight = |name: &str| score(key.as_bytes(), name);
@@ -183,9 +184,10 @@
 }
 
 /// Decides anew which suspects are refused, and logs what changed.
-pub(crate) fn review(node: &Node) {
+pub(crate) fn review(node: &Rc<Node>) {
     let mut suspects = node.suspects.borrow_mut();
     let before = suspects.review(node.now());
+    let mut changed = Vec::new();
     for item in suspects.quarantined() {
         let known = |old: &Quarantined| old.suspect == item.suspect && old.with == item.with;
         if !before.iter().any(known) {
@@ -201,12 +203,20 @@
                 },
                 item.crashes
             );
+            changed.push((item.suspect, true));
         }
     }
     for old in before {
         let quarantined = suspects.quarantined();
         if !quarantined.iter().any(|item| item.suspect == old.suspect) {
             log::info!("event=quarantine_ended suspect={}", old.suspect);
+            changed.push((old.suspect, false));
+        }
+    }
+    drop(suspects);
+    for (suspect, quarantined) in changed {
+        if makes_trials(node, suspect) {
+            quarantine::store(node, suspect, quarantined);
         }
     }
 }
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -149,7 +149,7 @@
 
 /// Applies a page that this node has read from `from`, and relays it if others rely on this node.
 async fn read_answered(
-    node: &Node,
+    node: &Rc<Node>,
     stream: Stream,
     page: Page,
     from: Option<LogOffset>,
@@ -194,7 +194,7 @@
 /// Applies a page, except for records that were applied before, and returns the records that
 /// mattered.
 pub(crate) fn apply_page(
-    node: &Node,
+    node: &Rc<Node>,
     stream: Stream,
     mut page: Page,
     is_listing: bool,
@@ -250,7 +250,7 @@
     .await;
 }
 
-fn apply_registrations(node: &Node, page: Page, is_listing: bool) -> Vec<RelayedRecord> {
+fn apply_registrations(node: &Rc<Node>, page: Page, is_listing: bool) -> Vec<RelayedRecord> {
     let now = node.now();
     let codec = &node.platform.codec;
     let mut listed = Vec::new();
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -235,7 +235,13 @@
     }
 }
 
-fn merge(node: &Node, digest: &Digest, extension: &Extension, parts: &[StatedPart], from: IpAddr) {
+fn merge(
+    node: &Rc<Node>,
+    digest: &Digest,
+    extension: &Extension,
+    parts: &[StatedPart],
+    from: IpAddr,
+) {
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
     let live_before = peers.live(now).count();
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -17,6 +17,7 @@
 mod gossip;
 mod metrics;
 mod node;
+mod quarantine;
 mod relay;
 mod request;
 pub mod sink;
@@ -100,6 +101,7 @@
     actix_rt::spawn(feed::documents(node.clone()));
     actix_rt::spawn(feed::endpoints(node.clone()));
     actix_rt::spawn(gossip::announce(node.clone()));
+    actix_rt::spawn(quarantine::restore(node.clone()));
     actix_rt::spawn(gossip::send(node.clone(), socket.clone()));
     actix_rt::spawn(gossip::receive(node.clone(), socket));
     actix_rt::spawn(relay::receive(node.clone()));
--- a/crates/cumin-serve/src/relay.rs
+++ b/crates/cumin-serve/src/relay.rs
@@ -122,7 +122,7 @@
 }
 
 /// Applies a relayed page, or asks this node's own reader to fill a gap.
-fn apply(node: &Node, page: RelayedPage, proof: Proof) {
+fn apply(node: &Rc<Node>, page: RelayedPage, proof: Proof) {
     if proof.incarnation != node.incarnation {
         return;
     }
--- a/crates/cumin-serve/tests/all/crashing_part.rs
+++ b/crates/cumin-serve/tests/all/crashing_part.rs
@@ -233,3 +233,33 @@
         );
     });
 }
+
+/// All entries were restarted and had forgotten which part crashes engines, so it crashed as many
+/// again.
+#[test]
+fn after_restart() {
+    run(async {
+        let entry = Entry::start_bare();
+        let record = Rc::new(Record::default());
+        for number in 0..ENGINE_COUNT {
+            Engine::start(number, entry.store.clone(), record.clone()).await;
+        }
+        entry.publish(&["key"]);
+        entry.wait_ready().await;
+        let pause = Duration::from_millis(20);
+        let end = Instant::now() + Duration::from_secs(1);
+        let bad = |_| BAD_PART.into();
+        send_requests(entry.callers, "bad", bad, pause, end).await;
+        let crashes = record.crashes.get();
+        assert!(crashes > 0, "the part crashes engines");
+        let restarted = Entry::start_on(entry.store.clone());
+        restarted.wait_ready().await;
+        let callers = restarted.callers;
+        let end = Instant::now() + Duration::from_secs(1);
+        send_requests(callers, "bad-again", bad, pause, end).await;
+        assert_eq!(record.crashes.get(), crashes);
+        let end = Instant::now() + Duration::from_millis(300);
+        let share = send_requests(callers, "sound", sound_middle, pause, end).await;
+        assert!(share > 0.5, "{share} of the sound requests are served");
+    });
+}
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -353,7 +353,11 @@
 
     /// Starts an entry without a document.
     pub fn start_bare() -> Self {
-        let store = MemoryStore::default();
+        Self::start_on(MemoryStore::default())
+    }
+
+    /// Starts an entry that uses a store of other entries. It does not hear them.
+    pub fn start_on(store: MemoryStore) -> Self {
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let address = || SocketAddr::new(local, free_port());
         // The metrics and the relayed pages use the two ports after the first.
