--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -117,6 +117,9 @@
         suspects.ran(suspicion, now);
     }
     drop(suspects);
+    if node.fleet.borrow().get(endpoint).is_none() {
+        return;
+    }
     connection.idle = (now, None);
     let mut idle_connections = node.idle_connections.borrow_mut();
     let idle = idle_connections.entry(endpoint.clone()).or_default();
@@ -187,7 +190,7 @@
 pub(crate) fn review(node: &Rc<Node>) {
     let mut suspects = node.suspects.borrow_mut();
     let before = suspects.review(node.now());
-    let mut changed = Vec::new();
+    let (mut started, mut ended) = (Vec::new(), Vec::new());
     for item in suspects.quarantined() {
         let known = |old: &Quarantined| old.suspect == item.suspect && old.with == item.with;
         if !before.iter().any(known) {
@@ -203,20 +206,23 @@
                 },
                 item.crashes
             );
-            changed.push((item.suspect, true));
+            started.push(item.suspect);
         }
     }
     for old in before {
         let quarantined = suspects.quarantined();
         if !quarantined.iter().any(|item| item.suspect == old.suspect) {
             log::info!("event=quarantine_ended suspect={}", old.suspect);
-            changed.push((old.suspect, false));
+            ended.push(old.suspect);
         }
     }
     drop(suspects);
-    for (suspect, quarantined) in changed {
-        if makes_trials(node, suspect) {
-            quarantine::store(node, suspect, quarantined);
-        }
+    started.retain(|suspect| makes_trials(node, *suspect));
+    for suspect in started {
+        quarantine::save(node, suspect);
+    }
+    ended.retain(|suspect| makes_trials(node, *suspect));
+    for suspect in ended {
+        quarantine::remove(node, suspect);
     }
 }
--- a/crates/cumin-serve/src/quarantine.rs
+++ b/crates/cumin-serve/src/quarantine.rs
@@ -22,29 +22,32 @@
 
 /// Record of a quarantined suspect.
 #[derive(Debug, Serialize, Deserialize)]
-struct Entry {
+struct StoredSuspect {
     /// Its crashes.
     suspect: Stated,
     /// Wall-clock time at which the record was written.
     written: WallMillis,
 }
 
-/// Writes a quarantined suspect to the store in the background, or removes its record if it is not
-/// known any more.
-pub(crate) fn store(node: &Rc<Node>, suspect: Suspect, quarantined: bool) {
-    let stated = node.suspects.borrow().stated_suspect(suspect, node.now());
-    let entry = Entry {
-        suspect: stated,
+/// Writes a quarantined suspect to the store in the background.
+pub(crate) fn save(node: &Rc<Node>, suspect: Suspect) {
+    let stored = StoredSuspect {
+        suspect: node.suspects.borrow().stated_suspect(suspect, node.now()),
         written: node.wall(),
     };
-    let value = match serde_json::to_vec(&entry) {
-        Ok(value) if quarantined => Bytes::from(value),
-        Ok(_) => Bytes::new(),
-        Err(error) => {
-            log::error!("event=quarantine_unwritten suspect={suspect} error={error}");
-            return;
-        }
-    };
+    match serde_json::to_vec(&stored) {
+        Ok(value) => append(node, suspect, Bytes::from(value)),
+        Err(error) => log::error!("event=quarantine_unwritten suspect={suspect} error={error}"),
+    }
+}
+
+/// Removes the record of a suspect from the store in the background.
+pub(crate) fn remove(node: &Rc<Node>, suspect: Suspect) {
+    append(node, suspect, Bytes::new());
+}
+
+/// Appends a record; one without a value removes its key.
+fn append(node: &Rc<Node>, suspect: Suspect, value: Bytes) {
     let node = node.clone();
     actix_rt::spawn(async move {
         let key = suspect.to_string();
@@ -75,11 +78,11 @@
     };
     for record in page.records {
         let Some(value) = &record.value else { continue };
-        match serde_json::from_slice::<Entry>(value) {
-            Ok(entry) => {
-                let age = Millis(node.wall().0.saturating_sub(entry.written.0));
+        match serde_json::from_slice::<StoredSuspect>(value) {
+            Ok(stored) => {
+                let age = Millis(node.wall().0.saturating_sub(stored.written.0));
                 let mut suspects = node.suspects.borrow_mut();
-                suspects.merge_stored(&entry.suspect, age, node.now());
+                suspects.merge_stored(&stored.suspect, age, node.now());
             }
             Err(error) => log::warn!(
                 "event=quarantine_unreadable key={:?} error={error}",
