State suspects of crashes in digests only while they are news

Cause: every digest repeated each suspect to every peer for two minutes, now also the parts of prompts. Change: a suspect is stated for 10 s after each change, and as long as it is known if it has enough crashes for a quarantine, so that nodes that start learn of it (suspects::stated_news).

--- a/crates/cumin-entry/src/suspects.rs
+++ b/crates/cumin-entry/src/suspects.rs
@@ -47,6 +47,10 @@
 /// Maximum number of requests and parts that are remembered as sound.
 const MAX_SOUND: usize = 4096;
 
+/// Time for which a digest states what is new of a suspect: tens of digests. What is enough for a
+/// quarantine is stated as long as it is known, for nodes that start.
+const NEWS_TIME: Millis = Millis(10_000);
+
 /// Maximum number of suspects of each kind in a digest: half of them those of the most crashes,
 /// the others those that changed last.
 const MAX_STATED: usize = 32;
@@ -187,6 +191,12 @@
         Millis(now.since(self.changed))
     }
 
+    /// Returns whether a digest states the suspect.
+    fn is_stated(&self, now: Millis) -> bool {
+        let age = self.age(now);
+        age < NEWS_TIME || (age < SUSPECT_TTL && self.open_count() >= CRASH_LIMIT)
+    }
+
     /// Returns the crashes that the suspect is not cleared of.
     fn open(&self) -> impl Iterator<Item = (&CrashId, &Involvement)> {
         let crashes = self.crashes.iter();
@@ -387,7 +397,7 @@
     pub fn stated(&self, now: Millis) -> Stated {
         let mut stated = Stated::default();
         let known = self.known.iter();
-        let live = known.filter(|(_, record)| record.age(now) < SUSPECT_TTL);
+        let live = known.filter(|(_, record)| record.is_stated(now));
         let (requests, parts): (Vec<_>, Vec<_>) =
             live.partition(|(suspect, _)| matches!(suspect, Suspect::Request(_)));
         for (suspect, record) in most_relevant(requests)
--- a/crates/cumin-entry/tests/all/suspects.rs
+++ b/crates/cumin-entry/tests/all/suspects.rs
@@ -388,3 +388,29 @@
     }
     assert!(nodes[1].refused(&prompt(&[50, BAD], 9)).is_some());
 }
+
+/// Every digest to every peer repeated each suspect for two minutes: on fleets of tens of entries,
+/// days with many crashes paid for the bytes between places (umura-ovens-large scale-1).
+#[test]
+fn stated_news() {
+    let mut nodes: [Suspects; 2] = Default::default();
+    let bystanders: Vec<_> = (0..30).map(|n| prompt(&[1000 + n], 5000 + n)).collect();
+    crash(&mut nodes[0], "e", &bystanders, Millis(1000));
+    for number in 0..3 {
+        let request = prompt(&[number, BAD], 100 + number);
+        crash(
+            &mut nodes[0],
+            &format!("e{number}"),
+            &[request],
+            Millis(1000),
+        );
+    }
+    let early = nodes[0].stated(Millis(2000));
+    assert!(early.parts.len() > 30, "{}", early.parts.len());
+    let late = nodes[0].stated(Millis(20_000));
+    assert!(late.requests.is_empty(), "{:?}", late.requests);
+    assert_eq!(late.parts.len(), 1, "{:?}", late.parts);
+    // A node that starts late learns what is refused.
+    exchange(&mut nodes, Millis(20_000));
+    assert!(nodes[1].refused(&prompt(&[7, BAD], 300)).is_some());
+}
