Log which endpoints state a request rate as their limit

The logs of the incident do not tell which answers stated a limit, so neither when an entry was told nor whether the limit that it knows is the newest. Each change is now logged with the request whose answer stated it, and cumin_limited_endpoints counts them. Nothing acts on limits yet. headers::rate_limit passes.

--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod learn;
+pub mod limits;
 pub mod peer;
 pub mod platform;
 pub mod quota;
--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -199,7 +199,7 @@
 }
 
 /// Parsed head of an endpoint's answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Identifier of the request that was answered.
     pub id: Option<String>,
@@ -211,6 +211,8 @@
     pub misdirected: bool,
     /// Time that the endpoint keeps an idle connection open.
     pub keep_alive: Option<Millis>,
+    /// Requests a second that the endpoint takes from all nodes together, if it states a limit.
+    pub rate_limit: Option<f64>,
 }
 
 /// The headers and paths that callers and endpoints of the platform use.
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -231,6 +231,9 @@
                     .borrow_mut()
                     .connection_failed(&endpoint, node.now());
             }
+            if !answer_head.misdirected {
+                self.limit_heard(&flight, answer_head.rate_limit);
+            }
             return Ok(AttemptEnd::NotRun);
         }
         if !answer_head.signed {
@@ -243,6 +246,7 @@
             self.attempt_broke(&flight);
             return Ok(AttemptEnd::Broken);
         }
+        self.limit_heard(&flight, answer_head.rate_limit);
         let is_stream = self.route.kind.is_stream() && answer.head.status.is_success();
         if is_stream {
             return self
@@ -285,6 +289,24 @@
         Ok(AttemptEnd::Answered(end, outcome))
     }
 
+    /// Records the limit that the head of an answer states.
+    fn limit_heard(&self, flight: &InFlight<'_>, rate: Option<f64>) {
+        let endpoint = &flight.endpoint;
+        let mut limits = self.node.limits.borrow_mut();
+        if limits.answer_heard(endpoint, flight.started_ms, rate) {
+            match rate {
+                Some(rate) => log::info!(
+                    "event=endpoint_limit endpoint={endpoint} state=stated rate={rate} id={}",
+                    self.id()
+                ),
+                None => log::info!(
+                    "event=endpoint_limit endpoint={endpoint} state=ended id={}",
+                    self.id()
+                ),
+            }
+        }
+    }
+
     /// Returns the size of the KV cache of an engine of the service; zero for a plain service.
     fn memory_tokens(&self) -> u64 {
         let engine = self.spec.and_then(|spec| spec.engine.as_ref());
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -375,4 +375,5 @@
     metrics.suspects.set(number(suspects.count(now)));
     let quarantined = suspects.quarantined().len();
     metrics.quarantined.set(number(quarantined));
+    metrics.limited.set(number(node.limits.borrow().count()));
 }
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -55,6 +55,7 @@
     pub(crate) peers: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) quarantined: Gauge,
+    pub(crate) limited: Gauge,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -81,6 +82,7 @@
             peers: Gauge::default(),
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
+            limited: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -143,6 +145,11 @@
             "Suspects of crashes that are refused",
             m.quarantined.clone(),
         );
+        registry.register(
+            "limited_endpoints",
+            "Endpoints that state a request rate as their limit",
+            m.limited.clone(),
+        );
         Self {
             registry,
             ..metrics
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -8,6 +8,7 @@
 use actix_http::ServiceConfig;
 use cumin_entry::document::{Document, Table};
 use cumin_entry::fleet::Fleet;
+use cumin_entry::limits::RateLimits;
 use cumin_entry::peer::{Peers, spread_addresses};
 use cumin_entry::platform::{Clock, Cloud, Codec, Dialect, Store, Stream};
 use cumin_entry::quota::Quotas;
@@ -110,6 +111,7 @@
     budgets: RefCell<BTreeMap<Service, RetryBudget>>,
     pub(crate) usage: RefCell<Usage>,
     pub(crate) suspects: RefCell<Suspects>,
+    pub(crate) limits: RefCell<RateLimits>,
     /// Endpoints of which it is being checked whether they crashed.
     pub(crate) checks: RefCell<HashMap<EndpointName, Check>>,
     pub(crate) peers: RefCell<Peers>,
@@ -150,6 +152,7 @@
             budgets: RefCell::default(),
             usage: RefCell::default(),
             suspects: RefCell::default(),
+            limits: RefCell::default(),
             checks: RefCell::default(),
             peers: RefCell::default(),
             lease: Cell::new(None),
