--- /dev/null
+++ b/crates/cumin-serve/tests/all/endpoint_limit.rs
@@ -0,0 +1,204 @@
+//! Limits on requests that endpoints state for all entries together.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+
+use crate::support::{Entry, MemoryStore, read_request, register, request, run, send};
+
+/// The users' bound on the time in which all entries must know of a limit.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Window in which the users count requests.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Multiple of a limit that an endpoint may get in a window, and requests that it may get beyond.
+const ALLOWED_SHARE: f64 = 1.5;
+const ALLOWED_EXTRA: f64 = 5.0;
+
+/// Duration of a request at an endpoint.
+const WORK: Duration = Duration::from_millis(10);
+
+/// An endpoint that may state a limit, and the arrivals of its requests.
+#[derive(Default)]
+struct Endpoint {
+    limit: Cell<Option<f64>>,
+    arrivals: RefCell<Vec<Instant>>,
+}
+
+impl Endpoint {
+    async fn start(store: &MemoryStore, name: &str) -> Rc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        register(store, name, "plain", listener.local_addr().unwrap());
+        let endpoint = Rc::new(Self::default());
+        let accepting = endpoint.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(accepting.clone().serve(stream));
+            }
+        });
+        endpoint
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        while let Some(received) = read_request(&mut stream).await {
+            self.arrivals.borrow_mut().push(Instant::now());
+            sleep(WORK).await;
+            let id = received.header("x-attempt-id").unwrap_or_default();
+            let limit = self.limit.get();
+            let limit = limit.map_or(String::new(), |rate| format!("Server-Limit: {rate}\r\n"));
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n{limit}\
+                 Content-Length: 2\r\n\r\nok"
+            );
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn count(&self, from: Instant, to: Instant) -> usize {
+        let arrivals = self.arrivals.borrow();
+        arrivals
+            .iter()
+            .filter(|at| **at >= from && **at < to)
+            .count()
+    }
+
+    /// Returns the most requests of any window between two times.
+    fn most(&self, from: Instant, to: Instant) -> usize {
+        let arrivals = self.arrivals.borrow().clone();
+        let starts = arrivals.into_iter().filter(|at| *at >= from);
+        let counts = starts.map(|at| self.count(at, to.min(at + WINDOW)));
+        counts.max().unwrap_or(0)
+    }
+}
+
+/// Returns the most requests that an endpoint with a limit may get in a window.
+fn allowed(rate: f64) -> f64 {
+    rate * WINDOW.as_secs_f64() * ALLOWED_SHARE + ALLOWED_EXTRA
+}
+
+fn share(part: usize, whole: usize) -> f64 {
+    f64::from(u32::try_from(part).unwrap()) / f64::from(u32::try_from(whole.max(1)).unwrap())
+}
+
+/// Sends a request every `pause` until `until`. Returns how many were sent and how many served, and
+/// how many were refused without a time to come back.
+async fn send_requests(entry: SocketAddr, pause: Duration, until: Instant) -> [usize; 3] {
+    let mut tasks = Vec::new();
+    while Instant::now() < until {
+        let text = request("GET", "/safe/x", "", "");
+        tasks.push(actix_rt::spawn(async move { send(entry, &text).await }));
+        sleep(pause).await;
+    }
+    let mut counts = [tasks.len(), 0, 0];
+    for task in tasks {
+        let answer = task.await.expect("the answer is read");
+        if answer.starts_with("HTTP/1.1 200") {
+            counts[1] += 1;
+        } else if !answer.to_ascii_lowercase().contains("retry-after") {
+            counts[2] += 1;
+        }
+    }
+    counts
+}
+
+/// Starts four entries in front of `count` endpoints.
+async fn start(count: usize) -> (Vec<Entry>, Vec<Rc<Endpoint>>) {
+    let store = MemoryStore::default();
+    let entries = Entry::start_group(&store, 4);
+    let mut endpoints = Vec::new();
+    for number in 0..count {
+        endpoints.push(Endpoint::start(&store, &format!("plain-{number}")).await);
+    }
+    entries[0].publish(&["key"]);
+    for entry in &entries {
+        entry.wait_ready().await;
+    }
+    (entries, endpoints)
+}
+
+/// Entries sent an endpoint as much as before after it had stated a limit, 20 requests in 4 s where
+/// 11 were allowed. Once it states none, it must get its share again.
+#[test]
+fn sum_of_entries() {
+    const RATE: f64 = 1.0;
+    run(async {
+        let (entries, endpoints) = start(3).await;
+        let begin = Instant::now();
+        let at = |seconds| begin + Duration::from_secs(seconds);
+        let (stated, ended, end) = (at(1), at(10), at(14));
+        let limited = endpoints[0].clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep_until(stated).await;
+            limited.limit.set(Some(RATE));
+            tokio::time::sleep_until(ended).await;
+            limited.limit.set(None);
+        });
+        let pause = Duration::from_millis(50);
+        let callers = entries
+            .iter()
+            .map(|entry| send_requests(entry.callers, pause, end));
+        let counts = futures_util::future::join_all(callers).await;
+        let sent: usize = counts.iter().map(|counts| counts[0]).sum();
+        let served: usize = counts.iter().map(|counts| counts[1]).sum();
+        let most = endpoints[0].most(stated + CONTACT, ended);
+        let limited_for = endpoints[0].count(stated + CONTACT, ended);
+        let after = |number: usize| endpoints[number].count(end - WINDOW / 4, end);
+        let last: usize = (0..3).map(after).sum();
+        println!(
+            "most {most} in a window, {limited_for} in 6 s, {served} of {sent} served, {} of {last} \
+             in the last second",
+            after(0)
+        );
+        assert!(
+            share(most, 1) <= allowed(RATE),
+            "{most} requests in a window"
+        );
+        assert!(
+            limited_for >= 2,
+            "the endpoint still gets {limited_for} requests"
+        );
+        assert!(share(served, sent) >= 0.95, "{served} of {sent} are served");
+        assert!(
+            share(after(0), last) >= 0.2,
+            "{} of {last} after the end",
+            after(0)
+        );
+    });
+}
+
+/// Callers of a service whose only endpoint states a limit are served up to that limit, and the
+/// others are told at once when to come back.
+#[test]
+fn only_endpoint() {
+    const RATE: f64 = 20.0;
+    run(async {
+        let (entries, endpoints) = start(1).await;
+        endpoints[0].limit.set(Some(RATE));
+        let begin = Instant::now();
+        let from = begin + CONTACT;
+        let end = from + WINDOW + WINDOW / 2;
+        let pause = Duration::from_millis(100);
+        let callers = entries
+            .iter()
+            .map(|entry| send_requests(entry.callers, pause, end));
+        let counts = futures_util::future::join_all(callers).await;
+        let without_time: usize = counts.iter().map(|counts| counts[2]).sum();
+        let most = endpoints[0].most(from, end);
+        let used = share(endpoints[0].count(from, end), 1) / (end - from).as_secs_f64();
+        println!("most {most} in a window, {used:.1} a second, {without_time} without a time");
+        assert!(
+            share(most, 1) <= allowed(RATE),
+            "{most} requests in a window"
+        );
+        assert!(used >= RATE * 0.7, "{used:.1} requests a second of {RATE}");
+        assert_eq!(without_time, 0, "refusals state when to come back");
+    });
+}
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod crashing_part;
 mod endless;
+mod endpoint_limit;
 mod keys;
 mod requests;
 mod sink;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -319,6 +319,16 @@
     }
 }
 
+/// Returns a free port that two more follow, for the metrics and the relayed pages.
+fn free_ports() -> u16 {
+    loop {
+        let ports = [free_port(), free_port(), free_port()];
+        if ports[1] == ports[0] + 1 && ports[2] == ports[0] + 2 {
+            return ports[0];
+        }
+    }
+}
+
 fn bounds() -> Bounds {
     Bounds {
         apply_limit: Millis(2000),
@@ -359,16 +369,31 @@
     /// Starts an entry that uses a store of other entries. It does not hear them.
     pub fn start_on(store: MemoryStore) -> Self {
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        let address = || SocketAddr::new(local, free_port());
-        // The metrics and the relayed pages use the two ports after the first.
-        let port = loop {
-            let ports = [free_port(), free_port(), free_port()];
-            if ports[1] == ports[0] + 1 && ports[2] == ports[0] + 2 {
-                break ports[0];
-            }
+        Self::start_at(store, "n1", local, free_ports(), Vec::new())
+    }
+
+    /// Starts entries that use one store and hear each other.
+    pub fn start_group(store: &MemoryStore, count: u8) -> Vec<Self> {
+        let port = free_ports();
+        let address = |number| IpAddr::V4(Ipv4Addr::new(127, 0, 1, number));
+        let seeds: Vec<IpAddr> = (1..=count).map(address).collect();
+        let start = |number| {
+            let name = format!("n{number}");
+            Self::start_at(store.clone(), &name, address(number), port, seeds.clone())
         };
+        (1..=count).map(start).collect()
+    }
+
+    fn start_at(
+        store: MemoryStore,
+        name: &str,
+        local: IpAddr,
+        port: u16,
+        seeds: Vec<IpAddr>,
+    ) -> Self {
+        let address = || SocketAddr::new(local, free_port());
         let settings = Settings {
-            node: NodeName::from("n1"),
+            node: NodeName::from(name),
             place: Place::from("a"),
             region: Region::from("r"),
             address: local,
@@ -376,7 +401,7 @@
             readiness_address: Some(address()),
             directory_address: Some(address()),
             base_port: port,
-            seeds: Vec::new(),
+            seeds,
             store_address: address(),
             cloud_address: None,
             record_bytes: 1 << 18,
@@ -455,7 +480,7 @@
         let ready = async {
             loop {
                 let text = get(self.directory, "/resolve?name=h").await;
-                if text.starts_with("HTTP/1.1 200") && text.contains("127.0.0.1") {
+                if text.starts_with("HTTP/1.1 200") && text.contains(&self.callers.to_string()) {
                     // The last registrations may not have been read yet.
                     sleep(Duration::from_millis(50)).await;
                     return;
