Keep the request rates that endpoints state, over all entries together

Change: cumin_entry::limits. A limit and its end travel with the digests, and every node deducts its requests and those of its peers from one level. A node uses that level except for what its peers may have sent since their digests, and otherwise a share of the rate in proportion to what it wants to send. Endpoints without room are left out of the selection; a request that finds no other is refused at once (endpoint_limit) with the time until there is room. Why this works: the level is refilled at the stated rate and may become negative, so that the sum over all nodes follows the rate; what can be sent unknown to the others is bounded by the digest interval.

--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod duty;
 mod fleet;
 mod learn;
+mod limits;
 mod quota;
 mod relay;
 mod scale;
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -6,6 +6,7 @@
 use actix_http::ResponseHead;
 use bytes::Bytes;
 use cumin_entry::fleet::Endpoint;
+use cumin_entry::limits::LimitChange;
 use cumin_entry::platform::{AnswerHead, Attempt};
 use cumin_entry::selection::{AttemptNumber, Need, PartList, shared_parts};
 use cumin_entry::suspects::BEGIN_WINDOW;
@@ -61,6 +62,7 @@
     /// Time of the endpoint's start, which tells its incarnations apart.
     started_ms: u64,
     id: AttemptNumber,
+    sent: Millis,
     /// Time of the first event or of the head of the answer.
     begun: Option<Millis>,
     /// Whether the request is known not to crash its endpoint.
@@ -109,6 +111,7 @@
             endpoint: endpoint.name.clone(),
             started_ms: endpoint.started_ms,
             id,
+            sent: now,
             begun: None,
             ran: false,
             answered: false,
@@ -291,19 +294,12 @@
 
     /// Records the limit that the head of an answer states.
     fn limit_heard(&self, flight: &InFlight<'_>, rate: Option<f64>) {
-        let endpoint = &flight.endpoint;
-        let mut limits = self.node.limits.borrow_mut();
-        if limits.answer_heard(endpoint, flight.started_ms, rate) {
-            match rate {
-                Some(rate) => log::info!(
-                    "event=endpoint_limit endpoint={endpoint} state=stated rate={rate} id={}",
-                    self.id()
-                ),
-                None => log::info!(
-                    "event=endpoint_limit endpoint={endpoint} state=ended id={}",
-                    self.id()
-                ),
-            }
+        let (node, now) = (self.node, self.node.now());
+        let mut limits = node.limits.borrow_mut();
+        let started_ms = flight.started_ms;
+        let change = limits.answer_heard(&flight.endpoint, started_ms, rate, flight.sent, now);
+        if let Some(change) = change {
+            log_limit(&change, "answer", self.id());
         }
     }
 
@@ -513,6 +509,20 @@
     now.since(idle_since) < limit_ms
 }
 
+/// Logs a limit that an answer or a peer stated, with the request or the peer.
+pub(crate) fn log_limit(change: &LimitChange, source: &str, from: &str) {
+    let LimitChange {
+        endpoint,
+        rate,
+        sent,
+    } = change;
+    let state = if rate.is_some() { "stated" } else { "ended" };
+    log::info!(
+        "event=endpoint_limit endpoint={endpoint} state={state} rate={} sent={sent} {source}={from}",
+        rate.map_or("-".into(), |rate| rate.to_string())
+    );
+}
+
 fn count_usage(node: &Node, org: &Organisation) {
     node.usage.borrow_mut().add(node.usage_window(), org);
 }
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -296,6 +296,7 @@
     }
     if changes.iter().any(|change| *change != Change::None) {
         node.selector.borrow_mut().trim(&fleet);
+        node.limits.borrow_mut().trim(&fleet, now);
         node.idle_connections
             .borrow_mut()
             .retain(|name, _| fleet.get(name).is_some());
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -8,14 +8,17 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use cumin_entry::limits::StatedLimit;
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
 use cumin_entry::suspects::StatedPart;
 use cumin_types::Millis;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::attempt::log_limit;
 use crate::crash;
 use crate::feed;
 use crate::node::{Node, Phase, saturating_i64};
@@ -68,7 +71,13 @@
         let mut digest = own_digest(&node, sequence);
         let stated = node.suspects.borrow().stated(node.now());
         digest.suspects = stated.requests;
-        let payload = match encode(&digest, &own_extension(&node), &stated.parts) {
+        let message = Message {
+            digest,
+            extension: own_extension(&node),
+            parts: stated.parts,
+            limits: node.limits.borrow().stated(node.now()),
+        };
+        let payload = match message.encode() {
             Ok(payload) => payload,
             Err(error) => {
                 log::error!("event=digest_unwritten error={error}");
@@ -88,27 +97,45 @@
     }
 }
 
-fn encode(
-    digest: &Digest,
-    extension: &Extension,
-    parts: &[StatedPart],
-) -> Result<Vec<u8>, postcard::Error> {
-    let payload = postcard::to_stdvec(digest)?;
-    let payload = postcard::to_extend(extension, payload)?;
-    postcard::to_extend(parts, payload)
+/// Content of a datagram. Each field was added later than the one before it.
+struct Message {
+    digest: Digest,
+    extension: Extension,
+    parts: Vec<StatedPart>,
+    limits: Vec<StatedLimit>,
 }
 
-/// Decodes a datagram; one of an older version ends after the digest or its extension.
-fn decode(payload: &[u8]) -> Result<(Digest, Extension, Vec<StatedPart>), postcard::Error> {
-    let (digest, rest) = postcard::take_from_bytes(payload)?;
-    if rest.is_empty() {
-        return Ok((digest, Extension::default(), Vec::new()));
+impl Message {
+    fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let payload = postcard::to_stdvec(&self.digest)?;
+        let payload = postcard::to_extend(&self.extension, payload)?;
+        let payload = postcard::to_extend(&self.parts, payload)?;
+        postcard::to_extend(&self.limits, payload)
     }
-    let (extension, rest) = postcard::take_from_bytes(rest)?;
-    if rest.is_empty() {
-        return Ok((digest, extension, Vec::new()));
+
+    /// Decodes a datagram; one of an older version lacks the last fields.
+    fn decode(payload: &[u8]) -> Result<Self, postcard::Error> {
+        let (digest, rest) = postcard::take_from_bytes(payload)?;
+        let (extension, rest) = take_or_default(rest)?;
+        let (parts, rest) = take_or_default(rest)?;
+        let (limits, _) = take_or_default(rest)?;
+        Ok(Self {
+            digest,
+            extension,
+            parts,
+            limits,
+        })
     }
-    Ok((digest, extension, postcard::from_bytes(rest)?))
+}
+
+/// Decodes a value, or returns the default if no bytes are left.
+fn take_or_default<T: Default + DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), postcard::Error> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    postcard::take_from_bytes(bytes)
 }
 
 fn own_extension(node: &Node) -> Extension {
@@ -190,6 +217,9 @@
     node.quotas
         .borrow_mut()
         .set_nodes(sharing, heard, digest_interval(node), now);
+    node.limits
+        .borrow_mut()
+        .set_nodes(sharing, heard, digest_interval(node), now);
     let live = peers.live(now).count() + 1;
     let mut selector = node.selector.borrow_mut();
     selector.set_nodes(live);
@@ -225,9 +255,9 @@
                 continue;
             }
         };
-        match decode(&buffer[..length]) {
-            Ok((digest, extension, parts)) if digest.node != node.settings.node => {
-                merge(&node, &digest, &extension, &parts, from.ip());
+        match Message::decode(&buffer[..length]) {
+            Ok(message) if message.digest.node != node.settings.node => {
+                merge(&node, &message, from.ip());
             }
             Ok(_) => {}
             Err(error) => log::warn!("event=digest_unreadable from={from} error={error}"),
@@ -235,13 +265,13 @@
     }
 }
 
-fn merge(
-    node: &Rc<Node>,
-    digest: &Digest,
-    extension: &Extension,
-    parts: &[StatedPart],
-    from: IpAddr,
-) {
+fn merge(node: &Rc<Node>, message: &Message, from: IpAddr) {
+    let Message {
+        digest,
+        extension,
+        parts,
+        limits,
+    } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
     let live_before = peers.live(now).count();
@@ -275,6 +305,13 @@
     node.quotas
         .borrow_mut()
         .merge_peer(&digest.node, digest.incarnation, &digest.taken, now);
+    let changes =
+        node.limits
+            .borrow_mut()
+            .merge_peer(&digest.node, digest.incarnation, limits, now);
+    for change in changes {
+        log_limit(&change, "peer", digest.node.as_str());
+    }
     let max_memory = node.table().map_or(0, |table| {
         let services = table.document().services.iter();
         let memories = services.filter_map(|spec| Some(spec.engine.as_ref()?.memory_tokens));
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -152,7 +152,7 @@
             budgets: RefCell::default(),
             usage: RefCell::default(),
             suspects: RefCell::default(),
-            limits: RefCell::default(),
+            limits: RefCell::new(RateLimits::new(settings.node.clone())),
             checks: RefCell::default(),
             peers: RefCell::default(),
             lease: Cell::new(None),
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -269,7 +269,11 @@
         let mut selector = self.node.selector.borrow_mut();
         let bounded =
             |wait: Millis| Millis((need.time_left.0 / 3).min(wait.0)).max(MIN_RETRY_AFTER);
-        match selector.choose(&fleet, self.service, need, &self.tried, now) {
+        let mut limits = self.node.limits.borrow_mut();
+        let blocked = limits.blocked(fleet.usable(self.service, now), now);
+        let mut avoid = self.tried.clone();
+        avoid.extend_from_slice(&blocked.endpoints);
+        match selector.choose(&fleet, self.service, need, &avoid, now) {
             Choice::Use {
                 endpoint,
                 estimate_ms,
@@ -285,9 +289,12 @@
                     return Err((DEFAULT_RETRY_AFTER, "retry_budget", String::new()));
                 }
                 log::debug!(
-                    "event=placed id={} endpoint={endpoint} estimate_ms={estimate_ms:.0} cached={cached}",
-                    self.id()
+                    "event=placed id={} endpoint={endpoint} estimate_ms={estimate_ms:.0} \
+                     cached={cached} blocked={}",
+                    self.id(),
+                    blocked.endpoints.len()
                 );
+                limits.request_sent(&endpoint, now);
                 let chosen = fleet.get(&endpoint).cloned();
                 chosen.map(|endpoint| (endpoint, estimate_ms)).ok_or((
                     DEFAULT_RETRY_AFTER,
@@ -305,6 +312,13 @@
                 let detail = format!("estimate_ms={estimate_ms:.0} goal_ms={}", need.goal_left);
                 Err((bounded(retry_after), "full", detail))
             }
+            Choice::NoEndpoint if !blocked.endpoints.is_empty() => {
+                if need.engine {
+                    selector.request_refused(self.service, need, now);
+                }
+                let detail = format!("blocked={}", blocked.endpoints.len());
+                Err((bounded(blocked.wait), "endpoint_limit", detail))
+            }
             Choice::NoEndpoint => {
                 let known = fleet.usable(self.service, now).count();
                 Err((
