Do not let rejections without a limit end the limit of an endpoint

A rejection may come from a queue in front of the endpoint that knows nothing of its limit. An endpoint that states 1 request a second and rejects all but every eighth request without a limit got 569 in 4 s, allowed 11 (endpoint_limit::rejections): each rejection ended the limit. Now only answers to requests that ran end it; the test sees 4.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -234,7 +234,8 @@
                     .borrow_mut()
                     .connection_failed(&endpoint, node.now());
             }
-            if !answer_head.misdirected {
+            // A rejection may come from what protects the endpoint, so it does not end a limit.
+            if !answer_head.misdirected && answer_head.rate_limit.is_some() {
                 self.limit_heard(&flight, answer_head.rate_limit);
             }
             return Ok(AttemptEnd::NotRun);
--- a/crates/cumin-serve/tests/all/endpoint_limit.rs
+++ b/crates/cumin-serve/tests/all/endpoint_limit.rs
@@ -28,6 +28,8 @@
 #[derive(Default)]
 struct Endpoint {
     limit: Cell<Option<f64>>,
+    /// Whether it rejects all but every eighth request, without stating a limit.
+    rejects: Cell<bool>,
     arrivals: RefCell<Vec<Instant>>,
 }
 
@@ -48,8 +50,19 @@
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
         while let Some(received) = read_request(&mut stream).await {
             self.arrivals.borrow_mut().push(Instant::now());
+            let number = self.arrivals.borrow().len();
             sleep(WORK).await;
             let id = received.header("x-attempt-id").unwrap_or_default();
+            if self.rejects.get() && !number.is_multiple_of(8) {
+                let text = format!(
+                    "HTTP/1.1 503 X\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
+                     Content-Length: 0\r\n\r\n"
+                );
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let limit = self.limit.get();
             let limit = limit.map_or(String::new(), |rate| format!("Server-Limit: {rate}\r\n"));
             let text = format!(
@@ -174,6 +187,30 @@
     });
 }
 
+/// A rejection without a limit must not end the limit that the endpoint stated.
+#[test]
+fn rejections() {
+    const RATE: f64 = 1.0;
+    run(async {
+        let (entries, endpoints) = start(1).await;
+        endpoints[0].limit.set(Some(RATE));
+        endpoints[0].rejects.set(true);
+        let from = Instant::now() + CONTACT;
+        let end = from + WINDOW + WINDOW / 2;
+        let pause = Duration::from_millis(20);
+        let callers = entries
+            .iter()
+            .map(|entry| send_requests(entry.callers, pause, end));
+        futures_util::future::join_all(callers).await;
+        let most = endpoints[0].most(from, end);
+        println!("most {most} in a window");
+        assert!(
+            share(most, 1) <= allowed(RATE),
+            "{most} requests in a window"
+        );
+    });
+}
+
 /// Callers of a service whose only endpoint states a limit are served up to that limit, and the
 /// others are told at once when to come back.
 #[test]
