--- a/crates/cumin-entry/src/limits.rs
+++ b/crates/cumin-entry/src/limits.rs
@@ -60,6 +60,19 @@
     pub wanted: f32,
 }
 
+/// What an answer to this node states.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnswerLimit {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Start of its incarnation.
+    pub started_ms: u64,
+    /// Limit in requests a second, if it states one.
+    pub rate: Option<f64>,
+    /// Time at which the request was sent.
+    pub sent: Millis,
+}
+
 /// Endpoints that may get no request at present because of their limits.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Blocked {
@@ -118,7 +131,9 @@
     heard: Millis,
     /// Limit in the newest answer that this node got, and its time.
     own: Option<(Option<f64>, Millis)>,
+    /// Requests that this node sent to the endpoint while it had a limit.
     sent: u64,
+    /// Requests that this node wanted to send.
     wanted: MeanRate,
     peers: BTreeMap<NodeName, PeerUse>,
     /// Requests that all nodes together may send at once; negative if they sent too many.
@@ -154,6 +169,7 @@
         }
     }
 
+    /// Raises the levels by what the limit allows since they were last raised.
     fn refill(&mut self, sharing: &Sharing, now: Millis) {
         let Some(rate) = self.rate.map(|rate| rate.max(MIN_RATE)) else {
             return;
@@ -161,6 +177,7 @@
         let elapsed = seconds(now.since(self.refilled));
         self.refilled = self.refilled.max(now);
         let per_second = rate * sharing.heard / sharing.nodes;
+        // This node's share grows only while it can't use the level of all nodes.
         let needed = self.needed(sharing, now);
         let short = if needed > burst(rate) {
             elapsed
@@ -201,18 +218,11 @@
         };
         self.refill(sharing, now);
         let per_second = rate * sharing.heard / sharing.nodes;
-        let until = |missing: f64, per_second: f64| {
-            if missing > 0.0 {
-                missing / per_second
-            } else {
-                0.0
-            }
-        };
-        let own_due = until(1.0 - self.own_level, per_second * self.share(now));
-        let own = own_due.max(until(-self.level, per_second));
+        let own = refill_seconds(1.0 - self.own_level, per_second * self.share(now))
+            .max(refill_seconds(-self.level, per_second));
         let needed = self.needed(sharing, now);
         let shared = if needed <= burst(rate) {
-            until(needed - self.level, per_second)
+            refill_seconds(needed - self.level, per_second)
         } else {
             f64::INFINITY
         };
@@ -267,24 +277,18 @@
         };
     }
 
-    /// Records the limit in an answer to a request that was sent at `sent`, or that it states none.
-    /// Returns what changed.
+    /// Records the limit that an answer states, or that it states none. Returns what changed.
     ///
     /// Answers may overtake each other, so a limit ends only with the answer to a request that was
     /// sent after the limit was last stated.
-    pub fn answer_heard(
-        &mut self,
-        endpoint: &EndpointName,
-        started_ms: u64,
-        rate: Option<f64>,
-        sent: Millis,
-        now: Millis,
-    ) -> Option<LimitChange> {
+    pub fn answer_heard(&mut self, stated: &AnswerLimit, now: Millis) -> Option<LimitChange> {
+        let AnswerLimit { endpoint, rate, .. } = stated;
+        let rate = *rate;
         if rate.is_none() && !self.accounts.contains_key(endpoint) {
             return None;
         }
-        let account = self.account(endpoint, started_ms, now)?;
-        if rate.is_none() && account.rate.is_some() && sent < account.heard {
+        let account = self.account(endpoint, stated.started_ms, now)?;
+        if rate.is_none() && account.rate.is_some() && stated.sent < account.heard {
             return None;
         }
         account.own = Some((rate, now));
@@ -454,6 +458,15 @@
     BURST_REQUESTS + rate * BURST_SECONDS
 }
 
+/// Returns the time in seconds until a level has risen by what is missing.
+fn refill_seconds(missing: f64, per_second: f64) -> f64 {
+    if missing > 0.0 {
+        missing / per_second
+    } else {
+        0.0
+    }
+}
+
 fn seconds(millis: u64) -> f64 {
     Millis(millis).duration().as_secs_f64()
 }
--- a/crates/cumin-entry/tests/all/limits.rs
+++ b/crates/cumin-entry/tests/all/limits.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use cumin_entry::fleet::{Endpoint, Fleet};
-use cumin_entry::limits::{Blocked, RateLimits, StatedLimit};
+use cumin_entry::limits::{AnswerLimit, Blocked, RateLimits, StatedLimit};
 use cumin_types::{EndpointName, Incarnation, Millis, NodeName};
 use proptest::prelude::*;
 use rand::{Rng as _, SeedableRng as _};
@@ -127,8 +127,8 @@
             let Some((_, node, sent, rate)) = self.answers.pop_front() else {
                 break;
             };
-            let started_ms = self.endpoint.started_ms;
-            self.limits[node].answer_heard(&self.endpoint.name, started_ms, rate, sent, now);
+            let answer = answer(self.endpoint.started_ms, rate, sent.0);
+            self.limits[node].answer_heard(&answer, now);
         }
         while self.digests.front().is_some_and(|(at, ..)| *at <= self.now) {
             let Some((_, from, to, stated)) = self.digests.pop_front() else {
@@ -245,6 +245,16 @@
     }
 }
 
+/// Returns the answer of the endpoint `e` to a request that was sent at `sent_ms`.
+fn answer(started_ms: u64, rate: Option<f64>, sent_ms: u64) -> AnswerLimit {
+    AnswerLimit {
+        endpoint: EndpointName::from("e"),
+        started_ms,
+        rate,
+        sent: Millis(sent_ms),
+    }
+}
+
 fn stated(limits: &RateLimits, now: u64) -> Vec<StatedLimit> {
     limits.stated(Millis(now))
 }
@@ -252,8 +262,7 @@
 /// Returns a node that knows a limit of 1 from an answer at the time 1000.
 fn told() -> RateLimits {
     let mut limits = RateLimits::new(NodeName::from("told"));
-    let name = EndpointName::from("e");
-    let change = limits.answer_heard(&name, 1, Some(1.0), Millis(900), Millis(1000));
+    let change = limits.answer_heard(&answer(1, Some(1.0), 900), Millis(1000));
     assert_eq!(change.and_then(|change| change.rate), Some(1.0));
     limits
 }
@@ -262,10 +271,9 @@
 #[test]
 fn overtaken_answer() {
     let mut limits = told();
-    let name = EndpointName::from("e");
-    let none = limits.answer_heard(&name, 1, None, Millis(950), Millis(1010));
+    let none = limits.answer_heard(&answer(1, None, 950), Millis(1010));
     assert_eq!((none, limits.count()), (None, 1));
-    let ended = limits.answer_heard(&name, 1, None, Millis(1001), Millis(1020));
+    let ended = limits.answer_heard(&answer(1, None, 1001), Millis(1020));
     assert_eq!(
         (ended.map(|change| change.rate), limits.count()),
         (Some(None), 0)
@@ -283,8 +291,8 @@
     };
     let blocked = limits.blocked(std::iter::once(&restarted), Millis(1100));
     assert_eq!(blocked, Blocked::default());
-    limits.answer_heard(&restarted.name, 2, Some(5.0), Millis(1100), Millis(1200));
-    let late = limits.answer_heard(&restarted.name, 1, Some(1.0), Millis(900), Millis(1300));
+    limits.answer_heard(&answer(2, Some(5.0), 1100), Millis(1200));
+    let late = limits.answer_heard(&answer(1, Some(1.0), 900), Millis(1300));
     assert_eq!(late, None);
     let late = limits.merge_peer(
         &"p".into(),
@@ -301,11 +309,10 @@
 fn stale_statement() {
     let old = told();
     let mut limits = RateLimits::new(NodeName::from("new"));
-    let name = EndpointName::from("e");
     let peer = NodeName::from("p");
     let known = limits.merge_peer(&peer, Incarnation(1), &stated(&old, 1200), Millis(5200));
     assert_eq!(known.len(), 1);
-    limits.answer_heard(&name, 1, None, Millis(5300), Millis(5400));
+    limits.answer_heard(&answer(1, None, 5300), Millis(5400));
     let again = limits.merge_peer(&peer, Incarnation(1), &stated(&old, 1500), Millis(5500));
     assert_eq!((again.len(), limits.count()), (0, 0));
     // After the end is forgotten, the statement is too old to count.
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -6,7 +6,7 @@
 use actix_http::ResponseHead;
 use bytes::Bytes;
 use cumin_entry::fleet::Endpoint;
-use cumin_entry::limits::LimitChange;
+use cumin_entry::limits::AnswerLimit;
 use cumin_entry::platform::{AnswerHead, Attempt};
 use cumin_entry::selection::{AttemptNumber, Need, PartList, shared_parts};
 use cumin_entry::suspects::BEGIN_WINDOW;
@@ -17,6 +17,7 @@
 use crate::connection::{Answer, AnswerError, Connection, Outbound};
 use crate::crash;
 use crate::events::EventSplitter;
+use crate::limit;
 use crate::node::Node;
 use crate::request::{ActiveRequest, seconds};
 
@@ -71,6 +72,18 @@
     answered: bool,
 }
 
+impl InFlight<'_> {
+    /// Returns the limit that the head of the attempt's answer states.
+    fn stated(&self, head: &AnswerHead) -> AnswerLimit {
+        AnswerLimit {
+            endpoint: self.endpoint.clone(),
+            started_ms: self.started_ms,
+            rate: head.rate_limit,
+            sent: self.sent,
+        }
+    }
+}
+
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
         let now = self.node.now();
@@ -236,7 +249,7 @@
             }
             // A rejection may come from what protects the endpoint, so it does not end a limit.
             if !answer_head.misdirected && answer_head.rate_limit.is_some() {
-                self.limit_heard(&flight, answer_head.rate_limit);
+                limit::answer_heard(node, &flight.stated(&answer_head), self.id());
             }
             return Ok(AttemptEnd::NotRun);
         }
@@ -250,7 +263,7 @@
             self.attempt_broke(&flight);
             return Ok(AttemptEnd::Broken);
         }
-        self.limit_heard(&flight, answer_head.rate_limit);
+        limit::answer_heard(node, &flight.stated(&answer_head), self.id());
         let is_stream = self.route.kind.is_stream() && answer.head.status.is_success();
         if is_stream {
             return self
@@ -293,17 +306,6 @@
         Ok(AttemptEnd::Answered(end, outcome))
     }
 
-    /// Records the limit that the head of an answer states.
-    fn limit_heard(&self, flight: &InFlight<'_>, rate: Option<f64>) {
-        let (node, now) = (self.node, self.node.now());
-        let mut limits = node.limits.borrow_mut();
-        let started_ms = flight.started_ms;
-        let change = limits.answer_heard(&flight.endpoint, started_ms, rate, flight.sent, now);
-        if let Some(change) = change {
-            log_limit(&change, "answer", self.id());
-        }
-    }
-
     /// Returns the size of the KV cache of an engine of the service; zero for a plain service.
     fn memory_tokens(&self) -> u64 {
         let engine = self.spec.and_then(|spec| spec.engine.as_ref());
@@ -510,20 +512,6 @@
     now.since(idle_since) < limit_ms
 }
 
-/// Logs a limit that an answer or a peer stated, with the request or the peer.
-pub(crate) fn log_limit(change: &LimitChange, source: &str, from: &str) {
-    let LimitChange {
-        endpoint,
-        rate,
-        sent,
-    } = change;
-    let state = if rate.is_some() { "stated" } else { "ended" };
-    log::info!(
-        "event=endpoint_limit endpoint={endpoint} state={state} rate={} sent={sent} {source}={from}",
-        rate.map_or("-".into(), |rate| rate.to_string())
-    );
-}
-
 fn count_usage(node: &Node, org: &Organisation) {
     node.usage.borrow_mut().add(node.usage_window(), org);
 }
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -18,9 +18,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::attempt::log_limit;
 use crate::crash;
 use crate::feed;
+use crate::limit;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
 
@@ -305,13 +305,7 @@
     node.quotas
         .borrow_mut()
         .merge_peer(&digest.node, digest.incarnation, &digest.taken, now);
-    let changes =
-        node.limits
-            .borrow_mut()
-            .merge_peer(&digest.node, digest.incarnation, limits, now);
-    for change in changes {
-        log_limit(&change, "peer", digest.node.as_str());
-    }
+    limit::merge_peer(node, digest, limits);
     let max_memory = node.table().map_or(0, |table| {
         let services = table.document().services.iter();
         let memories = services.filter_map(|spec| Some(spec.engine.as_ref()?.memory_tokens));
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cumin_entry::document::{OrgSpec, Route, RouteKind, ServiceSpec};
 use cumin_entry::fleet::Endpoint;
+use cumin_entry::limits::Blocked;
 use cumin_entry::platform::CallerRequest;
 use cumin_entry::selection::{Choice, Need};
 use cumin_entry::suspects::Suspicion;
@@ -28,6 +29,9 @@
 /// Number of failed connections after which a request gives up.
 const MAX_FAILED_CONNECTIONS: usize = 4;
 
+/// Time after which a refused request may be retried, reason and detail of the refusal.
+type NoAttempt = (Millis, &'static str, String);
+
 /// A request that was admitted and not yet answered.
 pub(crate) struct ActiveRequest<'a> {
     pub(crate) node: &'a Rc<Node>,
@@ -246,19 +250,16 @@
         }
     }
 
-    /// Chooses an endpoint, or returns the time to wait, the reason and the detail of a refusal.
+    /// Chooses an endpoint for an attempt unless the request must be refused.
     fn choose(
         &self,
         need: &Need,
         is_retry: bool,
         now: Millis,
-    ) -> Result<(Endpoint, f64), (Millis, &'static str, String)> {
+    ) -> Result<(Endpoint, f64), NoAttempt> {
         if self.attempts_sent >= self.route.attempts {
-            return Err((
-                MIN_RETRY_AFTER,
-                "attempts",
-                format!("sends={}", self.attempts_sent),
-            ));
+            let detail = format!("sends={}", self.attempts_sent);
+            return Err((MIN_RETRY_AFTER, "attempts", detail));
         }
         if let Some(suspect) = self.node.suspects.borrow().refused(&self.suspicion) {
             let detail = quarantine_detail(suspect);
@@ -266,66 +267,77 @@
             return Err((DEFAULT_TIMEOUT, CRASHES_ENDPOINTS, detail));
         }
         let fleet = self.node.fleet.borrow();
+        let mut limits = self.node.limits.borrow_mut();
+        let usable = fleet.usable(self.service, now);
+        let untried = usable.filter(|endpoint| !self.tried.contains(&endpoint.name));
+        let blocked = limits.blocked(untried, now);
+        let avoid = [&self.tried[..], &blocked.endpoints[..]].concat();
         let mut selector = self.node.selector.borrow_mut();
+        let choice = selector.choose(&fleet, self.service, need, &avoid, now);
+        drop(selector);
+        let Choice::Use {
+            endpoint,
+            estimate_ms,
+            cached,
+        } = choice
+        else {
+            return Err(self.refuse_choice(&choice, &blocked, need, now));
+        };
+        let nodes = self.node.sharing_nodes();
+        if is_retry
+            && self.attempts_sent > 0
+            && !self
+                .node
+                .with_budget(self.service, |budget| budget.try_take(nodes, now))
+        {
+            return Err((DEFAULT_RETRY_AFTER, "retry_budget", String::new()));
+        }
+        log::debug!(
+            "event=placed id={} endpoint={endpoint} estimate_ms={estimate_ms:.0} cached={cached} \
+             blocked={}",
+            self.id(),
+            blocked.endpoints.len()
+        );
+        limits.request_sent(&endpoint, now);
+        let chosen = fleet.get(&endpoint).cloned();
+        let refused = (DEFAULT_RETRY_AFTER, "no_endpoint", String::new());
+        chosen
+            .map(|endpoint| (endpoint, estimate_ms))
+            .ok_or(refused)
+    }
+
+    /// Returns why no endpoint was chosen, and counts the request as demand for engines.
+    fn refuse_choice(
+        &self,
+        choice: &Choice,
+        blocked: &Blocked,
+        need: &Need,
+        now: Millis,
+    ) -> NoAttempt {
         let bounded =
             |wait: Millis| Millis((need.time_left.0 / 3).min(wait.0)).max(MIN_RETRY_AFTER);
-        let mut limits = self.node.limits.borrow_mut();
-        let blocked = limits.blocked(fleet.usable(self.service, now), now);
-        let mut avoid = self.tried.clone();
-        avoid.extend_from_slice(&blocked.endpoints);
-        match selector.choose(&fleet, self.service, need, &avoid, now) {
-            Choice::Use {
-                endpoint,
-                estimate_ms,
-                cached,
-            } => {
-                let nodes = self.node.sharing_nodes();
-                if is_retry
-                    && self.attempts_sent > 0
-                    && !self
-                        .node
-                        .with_budget(self.service, |budget| budget.try_take(nodes, now))
-                {
-                    return Err((DEFAULT_RETRY_AFTER, "retry_budget", String::new()));
-                }
-                log::debug!(
-                    "event=placed id={} endpoint={endpoint} estimate_ms={estimate_ms:.0} \
-                     cached={cached} blocked={}",
-                    self.id(),
-                    blocked.endpoints.len()
-                );
-                limits.request_sent(&endpoint, now);
-                let chosen = fleet.get(&endpoint).cloned();
-                chosen.map(|endpoint| (endpoint, estimate_ms)).ok_or((
-                    DEFAULT_RETRY_AFTER,
-                    "no_endpoint",
-                    String::new(),
-                ))
-            }
+        let is_blocked = !blocked.endpoints.is_empty();
+        let is_full = matches!(choice, Choice::Full { .. });
+        if need.engine && (is_full || is_blocked) {
+            let mut selector = self.node.selector.borrow_mut();
+            selector.request_refused(self.service, need, now);
+        }
+        match choice {
             Choice::Full {
                 estimate_ms,
                 retry_after,
             } => {
-                if need.engine {
-                    selector.request_refused(self.service, need, now);
-                }
                 let detail = format!("estimate_ms={estimate_ms:.0} goal_ms={}", need.goal_left);
-                Err((bounded(retry_after), "full", detail))
+                (bounded(*retry_after), "full", detail)
             }
-            Choice::NoEndpoint if !blocked.endpoints.is_empty() => {
-                if need.engine {
-                    selector.request_refused(self.service, need, now);
-                }
+            _ if is_blocked => {
                 let detail = format!("blocked={}", blocked.endpoints.len());
-                Err((bounded(blocked.wait), "endpoint_limit", detail))
+                (bounded(blocked.wait), "endpoint_limit", detail)
             }
-            Choice::NoEndpoint => {
-                let known = fleet.usable(self.service, now).count();
-                Err((
-                    bounded(DEFAULT_RETRY_AFTER),
-                    "no_endpoint",
-                    format!("known={known}"),
-                ))
+            _ => {
+                let known = self.node.fleet.borrow().usable(self.service, now).count();
+                let detail = format!("known={known}");
+                (bounded(DEFAULT_RETRY_AFTER), "no_endpoint", detail)
             }
         }
     }
