Replace engines that state limits far below their part of the requests

All three classes of the engines lost alike, in two windows: most engines stated a limit at once. The plan of engines counted them as whole ones and ordered no others.

--- a/crates/cumin-entry/src/limits.rs
+++ b/crates/cumin-entry/src/limits.rs
@@ -409,6 +409,24 @@
         blocked
     }
 
+    /// Returns the fraction of the wanted requests that each of the endpoints with a limit takes.
+    ///
+    /// The endpoints must be those of one service, whose requests each of them could have got.
+    pub fn taken_shares<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+        now: Millis,
+    ) -> Vec<f64> {
+        let share = |endpoint: &Endpoint| {
+            let account = self.accounts.get(&endpoint.name)?;
+            let rate = account.rate?;
+            let wanted = account.wanted.at(now) + account.wanted_by_peers(now);
+            let share = if wanted > rate { rate / wanted } else { 1.0 };
+            (account.started_ms == endpoint.started_ms).then_some(share)
+        };
+        endpoints.filter_map(share).collect()
+    }
+
     /// Counts a request that is about to be sent.
     pub fn request_sent(&mut self, endpoint: &EndpointName, now: Millis) {
         if let Some(account) = self.accounts.get_mut(endpoint)
--- a/crates/cumin-entry/src/scale.rs
+++ b/crates/cumin-entry/src/scale.rs
@@ -11,6 +11,9 @@
 //! longer to boot than a reclaimed engine stays. For a while after a reclaim, on-demand engines
 //! therefore also cover the loss of the place with the most reclaimable ones.
 //!
+//! Load pattern: engines state limits on the requests that they take, far below what they usually
+//! take. Until the limits end, others are ordered in their place.
+//!
 //! Load pattern: after the nodes start, there is no traffic at first; then it starts at its full
 //! rate with cold caches. The engines that run at the start are what the operators planned for, so
 //! their number is kept until requests have been seen for a while; reclaimable engines replace most
@@ -166,13 +169,15 @@
 
     /// Returns the orders that differ from the last ones.
     ///
-    /// `engine` is the model of the service's engines, with their number of slots.
+    /// `engine` is the model of the service's engines, with their number of slots. `limited` has
+    /// the fraction of the service's requests that each engine with a limit takes.
     pub fn plan(
         &mut self,
         limits: &ScaleLimits,
         endpoints: &[&Endpoint],
         engine: (&EngineModel, u32),
         demand: Demand,
+        limited: &[f64],
         now: Millis,
     ) -> Vec<Order> {
         let working: Vec<&Endpoint> = endpoints.iter().copied().filter(|e| !e.draining).collect();
@@ -188,6 +193,7 @@
         if !self.demand_known(now) {
             need = need.max(ceil(f64::from(self.initial) * options.initial_share));
         }
+        let need = need.saturating_add(replacements(limited, need));
         let need = self.need.update(need, options.fall_delay, now);
         let spot = count(working.iter().filter(|e| e.spot).count());
         let base = ceil(f64::from(need) * options.base_share).max(1);
@@ -327,6 +333,13 @@
     }
 }
 
+/// Returns the number of engines that take the requests which engines with limits do not take.
+fn replacements(limited: &[f64], need: u32) -> u32 {
+    let need = f64::from(need);
+    let lost = limited.iter().map(|share| 1.0 - (share * need).min(1.0));
+    ceil(lost.sum::<f64>().min(need))
+}
+
 /// Returns whether most reclaimable engines of some place drain: those that this system gives back
 /// are few at a time.
 fn any_reclaimed(endpoints: &[&Endpoint]) -> bool {
--- a/crates/cumin-entry/tests/all/limits.rs
+++ b/crates/cumin-entry/tests/all/limits.rs
@@ -228,6 +228,24 @@
     assert!(nodes.count(from, nodes.now) >= 75.0, "half is used");
 }
 
+/// What an endpoint with a limit takes of the requests that all nodes want to send is known to
+/// each node, so that other engines can be ordered.
+#[test]
+fn taken_shares() {
+    let mut nodes = Nodes::new(4, 2.0, 1);
+    nodes.run(8000, |_| 10.0);
+    let now = Millis(nodes.now);
+    for limits in &nodes.limits {
+        let endpoints = [nodes.endpoint.clone(), endpoint("other")];
+        let shares = limits.taken_shares(endpoints.iter(), now);
+        assert_eq!(shares.len(), 1);
+        assert!((0.025..0.1).contains(&shares[0]), "{shares:?} of 1/20");
+    }
+    nodes.run(8000, |_| 0.1);
+    let shares = nodes.limits[0].taken_shares(std::iter::once(&nodes.endpoint), Millis(nodes.now));
+    assert_eq!(shares, [1.0]);
+}
+
 /// An endpoint whose limit has ended gets all requests again, also from nodes that did not hear it
 /// themselves.
 #[test]
--- a/crates/cumin-entry/tests/all/scale.rs
+++ b/crates/cumin-entry/tests/all/scale.rs
@@ -50,6 +50,10 @@
 struct Platform {
     engines: Vec<Endpoint>,
     exhausted: bool,
+    /// Maximum number of engines in a place.
+    max: u32,
+    /// Fractions of all requests that engines with a limit take.
+    limited: Vec<f64>,
     next: u32,
 }
 
@@ -62,6 +66,8 @@
         Self {
             engines,
             exhausted: false,
+            max: limits().max,
+            limited: Vec::new(),
             next: 100,
         }
     }
@@ -72,7 +78,12 @@
 
     fn step(&mut self, scaler: &mut Scaler, busy: f64, now: Millis) -> Vec<Order> {
         let seen: Vec<&Endpoint> = self.engines.iter().collect();
-        let orders = scaler.plan(&limits(), &seen, (&MODEL, 64), demand(busy), now);
+        let limits = ScaleLimits {
+            max: self.max,
+            ..limits()
+        };
+        let load = demand(busy);
+        let orders = scaler.plan(&limits, &seen, (&MODEL, 64), load, &self.limited, now);
         for order in &orders {
             let place = order.place.as_str();
             let here = |e: &&Endpoint| e.spot == order.spot && e.place.as_str() == place;
@@ -161,7 +172,14 @@
     let seen: Vec<&Endpoint> = few.iter().collect();
     assert!(
         scaler
-            .plan(&limits(), &seen, (&MODEL, 64), demand(0.0), Millis(500))
+            .plan(
+                &limits(),
+                &seen,
+                (&MODEL, 64),
+                demand(0.0),
+                &[],
+                Millis(500)
+            )
             .is_empty()
     );
 }
@@ -200,6 +218,30 @@
     assert!(platform.engines.len() < start);
 }
 
+/// All engines stated limits far below the demand, and no others were ordered, so that most callers
+/// were refused (second play of the LIMIT incident).
+#[test]
+fn limited_engines() {
+    let (mut platform, mut scaler) = (Platform::new(), scaler());
+    platform.max = 12;
+    run(&mut platform, &mut scaler, 6.0, 0, 30);
+    let (need, before) = (scaler.need(), platform.engines.len());
+    platform.limited = vec![0.01; before];
+    run(&mut platform, &mut scaler, 6.0, 30, 32);
+    let new = platform.engines.len() - before;
+    assert!(
+        new >= need as usize,
+        "{new} engines without a limit of {need}"
+    );
+    platform.limited = vec![0.9; before];
+    run(&mut platform, &mut scaler, 6.0, 32, 60);
+    let after = platform.engines.len();
+    assert!(
+        after <= before,
+        "{after} engines, {before} before the limits"
+    );
+}
+
 /// All places were reclaimed within seconds of each other. New engines took longer to boot than the
 /// reclaimed ones stayed, and half of the answers were late (ijwi-kigali-grown quiet-1).
 #[test]
@@ -232,7 +274,7 @@
         let seen: Vec<Endpoint> = booted.map(|(engine, _)| engine.clone()).collect();
         let seen: Vec<&Endpoint> = seen.iter().collect();
         let load = demand(20.0);
-        let orders = scaler.plan(&limits, &seen, (&MODEL, 64), load, Millis(now));
+        let orders = scaler.plan(&limits, &seen, (&MODEL, 64), load, &[], Millis(now));
         if now >= 30_000 {
             let working = f64::from(u32::try_from(seen.len()).unwrap());
             worst = worst.min(working / load.prefilling);
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -282,7 +282,9 @@
         let scaler = self.scalers.entry(spec.name.clone()).or_insert_with(|| {
             Scaler::new(ScaleOptions::default(), spec.name.clone(), node.started)
         });
-        let orders = scaler.plan(limits, &endpoints, (&model, slots), demand, now);
+        let working = endpoints.iter().copied().filter(|e| !e.draining);
+        let limited = node.limits.borrow().taken_shares(working, now);
+        let orders = scaler.plan(limits, &endpoints, (&model, slots), demand, &limited, now);
         let need = scaler.need();
         for order in orders {
             let Some(token) = self.lease.may_act(node.now()) else {
@@ -291,14 +293,16 @@
             let result = cloud.order(&self.lease_holder(token), &order).await;
             log::info!(
                 "event=order service={} place={} spot={} count={} need={need} \
-                 prefilling={:.2} output_rate={:.1} present={} token={token} result={result:?}",
+                 prefilling={:.2} output_rate={:.1} present={} limited={} token={token} \
+                 result={result:?}",
                 order.service,
                 order.place,
                 order.spot,
                 order.count,
                 demand.prefilling,
                 demand.output_rate,
-                endpoints.iter().filter(|e| !e.draining).count()
+                endpoints.iter().filter(|e| !e.draining).count(),
+                limited.len()
             );
             let Some(scaler) = self.scalers.get_mut(&spec.name) else {
                 return;
