--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -434,7 +434,9 @@
         }
     }
 
-    fn cooling_down(&self, name: &EndpointName, now: Millis) -> bool {
+    /// Returns whether an endpoint is in the cooldown after a failed connection.
+    #[must_use]
+    pub fn cooling_down(&self, name: &EndpointName, now: Millis) -> bool {
         let cooldown = self.loads.get(name).and_then(|load| load.cooldown);
         cooldown.is_some_and(|(until, _)| now < until)
     }
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -271,8 +271,17 @@
         let usable = fleet.usable(self.service, now);
         let untried = usable.filter(|endpoint| !self.tried.contains(&endpoint.name));
         let blocked = limits.blocked(untried, now);
-        let avoid = [&self.tried[..], &blocked.endpoints[..]].concat();
+        let mut avoid = [&self.tried[..], &blocked.endpoints[..]].concat();
         let mut selector = self.node.selector.borrow_mut();
+        if !blocked.endpoints.is_empty() {
+            // The others are alive, so these are not the last resort that `choose` takes them for.
+            let usable = fleet.usable(self.service, now).map(|known| &known.name);
+            avoid.extend(
+                usable
+                    .filter(|name| selector.cooling_down(name, now))
+                    .cloned(),
+            );
+        }
         let choice = selector.choose(&fleet, self.service, need, &avoid, now);
         drop(selector);
         let Choice::Use {
--- a/crates/cumin-serve/tests/all/endpoint_limit.rs
+++ b/crates/cumin-serve/tests/all/endpoint_limit.rs
@@ -211,6 +211,40 @@
     });
 }
 
+/// While the endpoints of a service have no room, requests must not go to others that refuse
+/// connections: they took all of them, up to four connections a request.
+#[test]
+fn dead_endpoint() {
+    const SECONDS: u64 = 8;
+    // Cooldowns double from 0.5 s to 4 s; callers of one moment may all try when one ends.
+    const MAX_UNSENT: usize = 20;
+    run(async {
+        let (entries, endpoints) = start(1).await;
+        endpoints[0].limit.set(Some(1.0));
+        let unused = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let dead = unused.local_addr().unwrap();
+        drop(unused);
+        entries[0].register("plain-dead", "plain", dead);
+        let end = Instant::now() + Duration::from_secs(SECONDS);
+        let pause = Duration::from_millis(50);
+        let callers = entries
+            .iter()
+            .map(|entry| send_requests(entry.callers, pause, end));
+        futures_util::future::join_all(callers).await;
+        for entry in &entries {
+            let text = crate::support::metrics(entry).await;
+            let line = text.lines().find(|line| line.contains("reason=\"unsent\""));
+            let unsent = line.and_then(|line| line.split(' ').next_back());
+            let unsent: usize = unsent.map_or(0, |count| count.parse().unwrap());
+            println!("{unsent} attempts without a connection");
+            assert!(
+                unsent <= MAX_UNSENT,
+                "{unsent} attempts without a connection"
+            );
+        }
+    });
+}
+
 /// Callers of a service whose only endpoint states a limit are served up to that limit, and the
 /// others are told at once when to come back.
 #[test]
