Check the end of a limit where the selection does not decide the share

Traced in four runs at once with the gauge of each entry: no entry knew of a limit any more, and of three endpoints without limits one got none at all. The selection takes the one with the least estimate, so the check expected what nothing promises; that the endpoint gets 2 requests while it is limited likewise. Replaced by checks that are as strict: only_endpoint, where there is no choice, must serve 0.95 of all requests from a second after the end (0.2 of them before), and at least 0.7 of the limit while it lasts (unchanged).

--- a/crates/cumin-serve/tests/all/endpoint_limit.rs
+++ b/crates/cumin-serve/tests/all/endpoint_limit.rs
@@ -122,6 +122,15 @@
     counts
 }
 
+/// Sends requests to all entries until `until`, and returns the sums of what [`send_requests`] does.
+async fn send_to_all(entries: &[Entry], pause: Duration, until: Instant) -> [usize; 3] {
+    let callers = entries
+        .iter()
+        .map(|entry| send_requests(entry.callers, pause, until));
+    let counts = futures_util::future::join_all(callers).await;
+    [0, 1, 2].map(|index| counts.iter().map(|counts| counts[index]).sum())
+}
+
 /// Starts four entries in front of `count` endpoints.
 async fn start(count: usize) -> (Vec<Entry>, Vec<Rc<Endpoint>>) {
     let store = MemoryStore::default();
@@ -138,52 +147,24 @@
 }
 
 /// Entries sent an endpoint as much as before after it had stated a limit, 20 requests in 4 s where
-/// 11 were allowed. Once it states none, it must get its share again.
+/// 11 were allowed.
 #[test]
 fn sum_of_entries() {
     const RATE: f64 = 1.0;
     run(async {
         let (entries, endpoints) = start(3).await;
-        let begin = Instant::now();
-        let at = |seconds| begin + Duration::from_secs(seconds);
-        let (stated, ended, end) = (at(1), at(10), at(14));
-        let limited = endpoints[0].clone();
-        actix_rt::spawn(async move {
-            tokio::time::sleep_until(stated).await;
-            limited.limit.set(Some(RATE));
-            tokio::time::sleep_until(ended).await;
-            limited.limit.set(None);
-        });
+        endpoints[0].limit.set(Some(RATE));
+        let from = Instant::now() + CONTACT;
+        let end = from + WINDOW + WINDOW / 2;
         let pause = Duration::from_millis(50);
-        let callers = entries
-            .iter()
-            .map(|entry| send_requests(entry.callers, pause, end));
-        let counts = futures_util::future::join_all(callers).await;
-        let sent: usize = counts.iter().map(|counts| counts[0]).sum();
-        let served: usize = counts.iter().map(|counts| counts[1]).sum();
-        let most = endpoints[0].most(stated + CONTACT, ended);
-        let limited_for = endpoints[0].count(stated + CONTACT, ended);
-        let after = |number: usize| endpoints[number].count(end - WINDOW / 4, end);
-        let last: usize = (0..3).map(after).sum();
-        println!(
-            "most {most} in a window, {limited_for} in 6 s, {served} of {sent} served, {} of {last} \
-             in the last second",
-            after(0)
-        );
+        let [sent, served, _] = send_to_all(&entries, pause, end).await;
+        let most = endpoints[0].most(from, end);
+        println!("most {most} in a window, {served} of {sent} served");
         assert!(
             share(most, 1) <= allowed(RATE),
             "{most} requests in a window"
         );
-        assert!(
-            limited_for >= 2,
-            "the endpoint still gets {limited_for} requests"
-        );
         assert!(share(served, sent) >= 0.95, "{served} of {sent} are served");
-        assert!(
-            share(after(0), last) >= 0.2,
-            "{} of {last} after the end",
-            after(0)
-        );
     });
 }
 
@@ -198,10 +179,7 @@
         let from = Instant::now() + CONTACT;
         let end = from + WINDOW + WINDOW / 2;
         let pause = Duration::from_millis(20);
-        let callers = entries
-            .iter()
-            .map(|entry| send_requests(entry.callers, pause, end));
-        futures_util::future::join_all(callers).await;
+        send_to_all(&entries, pause, end).await;
         let most = endpoints[0].most(from, end);
         println!("most {most} in a window");
         assert!(
@@ -227,10 +205,7 @@
         entries[0].register("plain-dead", "plain", dead);
         let end = Instant::now() + Duration::from_secs(SECONDS);
         let pause = Duration::from_millis(50);
-        let callers = entries
-            .iter()
-            .map(|entry| send_requests(entry.callers, pause, end));
-        futures_util::future::join_all(callers).await;
+        send_to_all(&entries, pause, end).await;
         for entry in &entries {
             let text = crate::support::metrics(entry).await;
             let line = text.lines().find(|line| line.contains("reason=\"unsent\""));
@@ -245,23 +220,18 @@
     });
 }
 
-/// Callers of a service whose only endpoint states a limit are served up to that limit, and the
-/// others are told at once when to come back.
+/// Callers of a service whose only endpoint states a limit are served up to that limit, the others
+/// are told at once when to come back, and all are served once it states none.
 #[test]
 fn only_endpoint() {
     const RATE: f64 = 20.0;
     run(async {
         let (entries, endpoints) = start(1).await;
         endpoints[0].limit.set(Some(RATE));
-        let begin = Instant::now();
-        let from = begin + CONTACT;
+        let from = Instant::now() + CONTACT;
         let end = from + WINDOW + WINDOW / 2;
         let pause = Duration::from_millis(100);
-        let callers = entries
-            .iter()
-            .map(|entry| send_requests(entry.callers, pause, end));
-        let counts = futures_util::future::join_all(callers).await;
-        let without_time: usize = counts.iter().map(|counts| counts[2]).sum();
+        let [_, _, without_time] = send_to_all(&entries, pause, end).await;
         let most = endpoints[0].most(from, end);
         let used = share(endpoints[0].count(from, end), 1) / (end - from).as_secs_f64();
         println!("most {most} in a window, {used:.1} a second, {without_time} without a time");
@@ -271,5 +241,10 @@
         );
         assert!(used >= RATE * 0.7, "{used:.1} requests a second of {RATE}");
         assert_eq!(without_time, 0, "refusals state when to come back");
+        endpoints[0].limit.set(None);
+        send_to_all(&entries, pause, Instant::now() + WINDOW / 4).await;
+        let [sent, served, _] = send_to_all(&entries, pause, Instant::now() + WINDOW / 4).await;
+        println!("{served} of {sent} served from a second after the end of the limit");
+        assert!(share(served, sent) >= 0.95, "{served} of {sent} are served");
     });
 }
