--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment, the case runs without its disruption.
 
+mod drain;
 mod entry;
 mod http;
 mod memory;
@@ -148,6 +149,7 @@
     };
     let case = Case::new(Path::new(folder));
     let verdict = match name.as_str() {
+        "drain" => drain::run(&case),
         "memory" => memory::run(&case),
         "resume" => resume::run(&case),
         "slow" => slow::run(&case),
