--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin.rs
