--- a/review/entry.rs
+++ b/review/entry.rs
@@ -96,10 +96,6 @@
         number.unwrap_or(0)
     }
 
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// Sends a signal, such as `TERM` or `STOP`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
--- a/review/memory.rs
+++ b/review/memory.rs
@@ -1,5 +1,5 @@
-//! More callers than usual send requests with bodies of the greatest size that the manifest allows,
-//! beside callers of streams; the platform kills a process that exceeds its memory.
+//! Three of four entries are lost, and their callers go to the last one with bodies of the greatest
+//! size that the manifest allows; the platform kills a process that exceeds its memory.
 
 use std::collections::HashSet;
 use std::io::Write as _;
@@ -12,19 +12,20 @@
 use crate::http::{self, Message};
 use crate::{Case, HOST, KEY, MAX_BODY_BYTES, Record, Verdict, connect, loopback, worker};
 
-/// Callers, each with one request at a time; with those of the burst they are at most 1.7 times as
-/// many.
-const CALLERS: u64 = 14;
-const BURST_CALLERS: u64 = 9;
+/// Entries, of which all but the last are lost.
+const ENTRIES: u8 = 4;
+
+/// Callers of all entries, each with one request at a time.
+const CALLERS: u64 = 36;
 
 /// Callers of streams; the events of a stream, and the pause before each.
 const STREAM_CALLERS: u64 = 8;
 const EVENTS: u64 = 60;
 const EVENT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time before the burst, and its length.
-const CALM_TIME: Duration = Duration::from_secs(10);
-const BURST_TIME: Duration = Duration::from_secs(3);
+/// Time before the loss, and after it.
+const CALM_TIME: Duration = Duration::from_secs(8);
+const WATCHED: Duration = Duration::from_secs(12);
 
 /// Service time of a request at a worker.
 const WORK: Duration = Duration::from_millis(60);
@@ -39,10 +40,9 @@
 struct Shared {
     /// Requests that a worker has received.
     passed_on: Mutex<HashSet<String>>,
-    /// Requests from kept channels that ended without an answer within the time budget.
+    /// Requests from kept channels to the last entry that ended without an answer.
     unanswered: Mutex<Vec<String>>,
     answered: AtomicU64,
-    burst: AtomicBool,
     stopped: AtomicBool,
 }
 
@@ -67,42 +67,49 @@
     for host in 50..53 {
         start_worker(case, host, shared.clone());
     }
-    let mut entry = Entry::start(
-        "front-1",
-        Ports::find(loopback(1)),
-        case.platform,
-        &case.folder,
-    );
-    if !entry.wait_ready(Duration::from_secs(20)) {
-        return Verdict::Unable("the entry is not ready");
+    let mut entries: Vec<Entry> = (1..=ENTRIES)
+        .map(|host| {
+            let (name, ports) = (format!("front-{host}"), Ports::find(loopback(host)));
+            Entry::start(&name, ports, case.platform, &case.folder)
+        })
+        .collect();
+    if !entries
+        .iter()
+        .all(|entry| entry.wait_ready(Duration::from_secs(20)))
+    {
+        return Verdict::Unable("an entry is not ready");
     }
     std::thread::sleep(Duration::from_secs(1));
-    for caller in 0..CALLERS + BURST_CALLERS + STREAM_CALLERS {
-        let (shared, front) = (shared.clone(), entry.ports.front);
+    let fronts: Vec<SocketAddr> = entries.iter().map(|entry| entry.ports.front).collect();
+    for caller in 0..CALLERS + STREAM_CALLERS {
+        let (shared, fronts) = (shared.clone(), fronts.clone());
         let record = case.record.clone();
-        std::thread::spawn(move || call(&shared, front, caller, &record));
+        std::thread::spawn(move || call(&shared, &fronts, caller, &record));
     }
     let record = &case.record;
     let started = Instant::now();
-    let (mut most, mut killed) = (0, false);
-    while !killed && started.elapsed() < CALM_TIME + BURST_TIME {
-        if case.trouble && started.elapsed() > CALM_TIME {
-            if !shared.burst.swap(true, Ordering::Relaxed) {
-                record.write(&format!("at most {most} kB so far; the burst begins"));
-            }
-        }
-        let used = entry.memory_kb();
-        most = most.max(used);
-        if used > MEMORY_MB * 1024 {
-            entry.signal("KILL");
-            killed = true;
+    let (mut most, mut killed, mut reduced) = (0, false, false);
+    while !killed && started.elapsed() < CALM_TIME + WATCHED {
+        if case.trouble && !reduced && started.elapsed() > CALM_TIME {
+            entries.drain(..entries.len() - 1);
+            reduced = true;
             record.write(&format!(
-                "the platform kills the entry, which uses {used} kB"
+                "at most {most} kB so far; all entries but one are lost"
             ));
         }
+        for entry in &entries {
+            let used = entry.memory_kb();
+            most = most.max(used);
+            if used > MEMORY_MB * 1024 {
+                entry.signal("KILL");
+                killed = true;
+                record.write(&format!(
+                    "the platform kills an entry, which uses {used} kB"
+                ));
+            }
+        }
         std::thread::sleep(Duration::from_millis(10));
     }
-    let running = entry.is_running();
     std::thread::sleep(Duration::from_millis(500));
     shared.stopped.store(true, Ordering::Relaxed);
     let passed_on = shared.passed_on.lock().expect("the lock of the runs");
@@ -113,7 +120,7 @@
         .collect();
     let answered = shared.answered.load(Ordering::Relaxed);
     record.write(&format!(
-        "at most {most} kB; running: {running}; answered: {answered}"
+        "at most {most} kB; killed: {killed}; answered: {answered}"
     ));
     record.write(&format!(
         "passed on and without an answer: {} {lost:?}",
@@ -158,21 +165,20 @@
     worker::serve(listen, Arc::new(answer));
 }
 
-/// Sends requests on a kept channel.
-fn call(shared: &Shared, front: SocketAddr, caller: u64, record: &Record) {
+/// Sends requests on a kept channel, to the next entry if one can't be reached.
+fn call(shared: &Shared, fronts: &[SocketAddr], caller: u64, record: &Record) {
     let body = vec![b'x'; MAX_BODY_BYTES];
     let mut channel: Option<TcpStream> = None;
-    let streams = caller >= CALLERS + BURST_CALLERS;
+    let streams = caller >= CALLERS;
+    let mut at = usize::try_from(caller).unwrap_or(0) % fronts.len();
     for number in 0.. {
-        while caller >= CALLERS && !streams && !shared.burst.load(Ordering::Relaxed) {
-            std::thread::sleep(Duration::from_millis(10));
-        }
         if shared.stopped.load(Ordering::Relaxed) {
             return;
         }
         let id = format!("{caller}-{number}");
         let kept = channel.is_some();
-        let Some(mut stream) = channel.take().or_else(|| connect(front, BUDGET)) else {
+        let Some(mut stream) = channel.take().or_else(|| connect(fronts[at], BUDGET)) else {
+            at = (at + 1) % fronts.len();
             std::thread::sleep(Duration::from_millis(100));
             continue;
         };
@@ -199,7 +205,7 @@
             record.write(&format!("{id} is answered with {}", answer.status()));
             shared.answered.fetch_add(1, Ordering::Relaxed);
             channel = Some(stream);
-        } else if kept {
+        } else if kept && at + 1 == fronts.len() {
             record.write(&format!("the channel of {id} ends without a whole answer"));
             shared
                 .unanswered
