Truncate a stream whose resumption fails instead of appending the error

Cause: handle_answer forwarded an error once no attempt was left, also if the caller already had the beginning of the stream.

The answer now ends without its last chunk, so callers see that it is not whole and may resume. Reply refuses a second answer, which closes the connection, for any other path.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -302,6 +302,15 @@
             return Ok(AttemptEnd::Failed(head, body));
         }
         drop(flight);
+        if reply.head_written {
+            // The caller has the beginning of a stream, which an error does not continue.
+            log::info!(
+                "event=resumption_failed id={} endpoint={endpoint} status={}",
+                self.id(),
+                head.status.as_u16()
+            );
+            return Ok(AttemptEnd::Answered(ReplyEnd::Truncated, "cut_failed"));
+        }
         let (end, outcome) = self.forward(&head, &body, reply).await?;
         Ok(AttemptEnd::Answered(end, outcome))
     }
--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -81,6 +81,11 @@
         headers: HeaderMap,
         size: BodySize,
     ) -> io::Result<()> {
+        if self.head_written {
+            // The caller would take a second head for a part of the first answer's body.
+            log::error!("event=second_answer status={}", status.as_u16());
+            return Err(io::Error::other("an answer has already begun"));
+        }
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
         if self.closing {
--- a/crates/cumin-serve/tests/all/streams.rs
+++ b/crates/cumin-serve/tests/all/streams.rs
@@ -1,6 +1,6 @@
 //! Event streams: only complete events are forwarded, and resumable streams are resumed.
 
-use crate::support::{Endpoint, Entry, Step, chunk, last_chunk, run, stream_head};
+use crate::support::{Endpoint, Entry, Step, answer, chunk, last_chunk, run, stream_head};
 
 fn event(id: u32) -> String {
     format!("id: {id}\ndata: t{id}\n\n")
@@ -95,6 +95,40 @@
     });
 }
 
+/// An endpoint's error must not be written into the chunked answer that another endpoint began
+/// (hackbrett and umura-ovens-grown with failing engines and reset connections).
+#[test]
+fn failed_resumption() {
+    run(async {
+        for status in [400, 404, 500, 504] {
+            let broken = vec![
+                stream_head(),
+                chunk(&event(1)),
+                Step::Wait(20),
+                Step::Reset,
+            ];
+            let first = Endpoint::start(vec![broken]).await;
+            let second = Endpoint::start(vec![vec![answer(status, "the run failed")]]).await;
+            let entry = Entry::start(&[], &[&first, &second]).await;
+            let mut resumed = 0;
+            // The endpoint that is chosen first varies between requests.
+            for _ in 0..12 {
+                let before = first.count();
+                let got = entry.call("POST", "/resume/x", "", "prompt").await;
+                if first.count() == before || !got.starts_with("HTTP/1.1 200") {
+                    continue;
+                }
+                resumed += 1;
+                let (_, body) = got.split_once("\r\n\r\n").unwrap();
+                let text = event(1);
+                let expected = format!("{:X}\r\n{text}\r\n", text.len());
+                assert_eq!(body, expected, "{status}");
+            }
+            assert!(resumed > 0);
+        }
+    });
+}
+
 /// The request of a caller that disconnects is aborted at the endpoint within half a second.
 #[test]
 fn caller_disconnects() {
