--- a/crates/cumin-serve/tests/all/streams.rs
+++ b/crates/cumin-serve/tests/all/streams.rs
@@ -101,12 +101,7 @@
 fn failed_resumption() {
     run(async {
         for status in [400, 404, 500, 504] {
-            let broken = vec![
-                stream_head(),
-                chunk(&event(1)),
-                Step::Wait(20),
-                Step::Reset,
-            ];
+            let broken = vec![stream_head(), chunk(&event(1)), Step::Wait(20), Step::Reset];
             let first = Endpoint::start(vec![broken]).await;
             let second = Endpoint::start(vec![vec![answer(status, "the run failed")]]).await;
             let entry = Entry::start(&[], &[&first, &second]).await;
