Keep ended registrations only after an outage of the store, not after an own loss

After any failed read an entry kept registrations that ended for 2.2 s, as if they had expired in an outage.

A time without reads now counts as an outage only if registrations can expire in it, and if the entries together did not read the store meanwhile. Digests state the span of their sender's answered reads, after the fields that older versions know.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -101,6 +101,14 @@
         self.store_regained = Some(now);
     }
 
+    /// Records that there was no outage: lapsed endpoints are gone at `now`.
+    pub fn outage_refuted(&mut self, now: Millis) {
+        self.store_regained = None;
+        for known in self.registrations.values_mut() {
+            known.expires = known.expires.map(|at| at.min(now));
+        }
+    }
+
     /// Returns the time since the store was regained after an outage, if endpoints may still
     /// register again because of it.
     #[must_use]
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod learn;
 pub mod limits;
+pub mod outage;
 pub mod peer;
 pub mod platform;
 pub mod quota;
--- a/crates/cumin-entry/src/settings.rs
+++ b/crates/cumin-entry/src/settings.rs
@@ -25,6 +25,8 @@
     pub budget_window: Millis,
     /// Retries allowed in addition to the ratio.
     pub budget_slack: f64,
+    /// Interval at which endpoints renew their registrations.
+    pub heartbeat: Millis,
     /// Length of a usage window.
     pub usage_window: Millis,
     /// Time from the end of a usage window until its report is due.
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod learn;
 mod limits;
+mod outage;
 mod quota;
 mod relay;
 mod scale;
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -7,9 +7,10 @@
 use std::rc::Rc;
 
 use cumin_entry::fleet::{Change, read_pause};
+use cumin_entry::outage::{Absence, StatedSpan};
 use cumin_entry::platform::{Page, Record, StoreError, Stream};
 use cumin_entry::relay::{RelayedPage, RelayedRecord, self_read_age};
-use cumin_types::{LogOffset, Millis};
+use cumin_types::{LogOffset, Millis, NodeName};
 
 use crate::metrics::StoreCallLabels;
 use crate::node::{Freshness, Node};
@@ -147,6 +148,48 @@
     }
 }
 
+/// Keeps registrations that end now if they may have expired in an outage of the store.
+fn check_outage(node: &Node, absence: Option<Absence>) {
+    let now = node.now();
+    let Some(absence) = absence else {
+        // Nothing is known that could have expired, or no registration can have.
+        return;
+    };
+    let covered = node
+        .timeline
+        .borrow()
+        .covers(absence, node.bounds.get().heartbeat);
+    log::info!(
+        "event=store_absence outage={} after_ms={}",
+        !covered,
+        absence.to.since(absence.from)
+    );
+    if !covered {
+        node.fleet.borrow_mut().store_regained(now);
+        node.absence.set(Some(absence));
+    }
+}
+
+/// Adds the reads that a peer states, and ends what [`check_outage`] began if they show that there
+/// was no outage.
+pub(crate) fn peer_reads(node: &Node, peer: &NodeName, span: StatedSpan) {
+    let now = node.now();
+    let heartbeat = node.bounds.get().heartbeat;
+    let mut timeline = node.timeline.borrow_mut();
+    timeline.add(span.heard(now), heartbeat);
+    let Some(absence) = node.absence.get() else {
+        return;
+    };
+    let mut fleet = node.fleet.borrow_mut();
+    if fleet.recently_regained(now).is_none() {
+        node.absence.set(None);
+    } else if timeline.covers(absence, heartbeat) {
+        log::info!("event=outage_refuted reader={peer}");
+        node.absence.set(None);
+        fleet.outage_refuted(now);
+    }
+}
+
 /// Applies a page that this node has read from `from`, and relays it if others rely on this node.
 async fn read_answered(
     node: &Rc<Node>,
@@ -157,15 +200,17 @@
 ) {
     let feed = node.feed(stream);
     let state = feed.freshness.get();
+    if stream == Stream::Endpoints {
+        let absence = node.registrations_read();
+        if state.lost_since.is_some() {
+            check_outage(node, absence);
+        }
+    }
     if let Some(since) = state.lost_since {
-        let now = node.now();
         log::info!(
             "event=dependency_regained name=store stream={stream} after_ms={}",
-            now.since(since)
+            node.now().since(since)
         );
-        if stream == Stream::Endpoints {
-            node.fleet.borrow_mut().store_regained(now);
-        }
     }
     feed.freshness.set(Freshness {
         as_of: state.as_of.max(Some(as_of)),
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use cumin_entry::limits::StatedLimit;
+use cumin_entry::outage::StatedSpan;
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
@@ -76,6 +77,7 @@
             extension: own_extension(&node),
             parts: stated.parts,
             limits: node.limits.borrow().stated(node.now()),
+            reads: node.reads.get().span().map(|span| span.stated(node.now())),
         };
         let payload = match message.encode() {
             Ok(payload) => payload,
@@ -103,6 +105,7 @@
     extension: Extension,
     parts: Vec<StatedPart>,
     limits: Vec<StatedLimit>,
+    reads: Option<StatedSpan>,
 }
 
 impl Message {
@@ -110,7 +113,8 @@
         let payload = postcard::to_stdvec(&self.digest)?;
         let payload = postcard::to_extend(&self.extension, payload)?;
         let payload = postcard::to_extend(&self.parts, payload)?;
-        postcard::to_extend(&self.limits, payload)
+        let payload = postcard::to_extend(&self.limits, payload)?;
+        postcard::to_extend(&self.reads, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -118,12 +122,14 @@
         let (digest, rest) = postcard::take_from_bytes(payload)?;
         let (extension, rest) = take_or_default(rest)?;
         let (parts, rest) = take_or_default(rest)?;
-        let (limits, _) = take_or_default(rest)?;
+        let (limits, rest) = take_or_default(rest)?;
+        let (reads, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
             parts,
             limits,
+            reads,
         })
     }
 }
@@ -271,6 +277,7 @@
         extension,
         parts,
         limits,
+        reads,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -288,6 +295,9 @@
         );
     }
     drop(peers);
+    if let Some(span) = reads {
+        feed::peer_reads(node, &digest.node, *span);
+    }
     let proof = Proof {
         incarnation: digest.incarnation,
         wall: digest.wall,
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -9,6 +9,7 @@
 use cumin_entry::document::{Document, Table};
 use cumin_entry::fleet::Fleet;
 use cumin_entry::limits::RateLimits;
+use cumin_entry::outage::{Absence, Reads, Timeline};
 use cumin_entry::peer::{Peers, spread_addresses};
 use cumin_entry::platform::{Clock, Cloud, Codec, Dialect, Store, Stream};
 use cumin_entry::quota::Quotas;
@@ -99,6 +100,12 @@
     pub(crate) table: RefCell<Option<Rc<Table>>>,
     pub(crate) documents: Feed,
     pub(crate) registrations: Feed,
+    /// Reads of the registrations, by this node or by the reader of its place.
+    pub(crate) reads: Cell<Reads>,
+    /// Reads of the registrations by peers.
+    pub(crate) timeline: RefCell<Timeline>,
+    /// Time without reads that this node takes for an outage of the store.
+    pub(crate) absence: Cell<Option<Absence>>,
     /// Whether this node reads the store for its place.
     pub(crate) reader: Cell<bool>,
     /// Times that peers stated, which prove the age of relayed pages to them.
@@ -143,6 +150,9 @@
             table: RefCell::new(None),
             documents: Feed::default(),
             registrations: Feed::default(),
+            reads: Cell::default(),
+            timeline: RefCell::default(),
+            absence: Cell::default(),
             reader: Cell::default(),
             stamps: RefCell::default(),
             page_socket,
@@ -223,6 +233,14 @@
         }
     }
 
+    /// Records an answered read of the registrations.
+    pub(crate) fn registrations_read(&self) -> Option<Absence> {
+        let mut reads = self.reads.get();
+        let absence = reads.answered(self.bounds.get().heartbeat, self.now());
+        self.reads.set(reads);
+        absence
+    }
+
     /// Returns the age of the older one of the copies; `None` before both were read.
     pub(crate) fn store_age(&self) -> Option<Millis> {
         let now = self.now();
--- a/crates/cumin-serve/src/relay.rs
+++ b/crates/cumin-serve/src/relay.rs
@@ -5,7 +5,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-use cumin_entry::platform::Page;
+use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::{PageFit, Proof, RelayedPage, RelayedRecord};
 use cumin_entry::settings::Settings;
 use cumin_types::{Millis, WallMillis};
@@ -150,6 +150,9 @@
         let at = Millis(now.since(since));
         node.fleet.borrow_mut().store_regained(at);
     }
+    if stream == Stream::Endpoints {
+        node.registrations_read();
+    }
     let as_of = Some(node.local_time(proof.wall).min(now)).max(state.as_of);
     if let Some(since) = state.lost_since {
         log::info!(
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod endpoint_limit;
 mod keys;
 mod requests;
+mod silent_store;
 mod sink;
 mod streams;
 mod support;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -18,7 +18,10 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// Interval at which endpoints renew their registrations.
+pub const HEARTBEAT: Millis = Millis(1200);
 
 /// Timeout of each exchange and condition in these tests.
 pub const LIMIT: Duration = Duration::from_secs(10);
@@ -28,8 +31,14 @@
 pub struct MemoryStore {
     records: Rc<RefCell<Vec<(Stream, Record)>>>,
     pub down: Rc<Cell<bool>>,
+    /// Whether the connection for registrations is silent: the read in progress, or else the next
+    /// one, is lost, and the one after it uses a new connection.
+    pub silent: Rc<Cell<bool>>,
 }
 
+/// Time after which a read without an answer is lost, in addition to the time that it waits.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
 impl MemoryStore {
     pub fn put(&self, stream: Stream, key: &str, value: &Value) {
         self.push(stream, Some(key), Some(Bytes::from(value.to_string())));
@@ -68,7 +77,13 @@
     ) -> LocalFuture<'_, Result<Page, StoreError>> {
         async move {
             let step = Duration::from_millis(10);
+            let lost_at = Instant::now() + wait.duration() + ANSWER_TIMEOUT;
             for _ in 0..=wait.0 / 10 {
+                if self.silent.get() && stream == Stream::Endpoints {
+                    sleep_until(lost_at).await;
+                    self.silent.set(false);
+                    return Err(StoreError::Lost("silent".into()));
+                }
                 if self.down.get() {
                     return Err(StoreError::Refused("down".into()));
                 }
@@ -339,6 +354,7 @@
         budget_ratio: 0.2,
         budget_window: Millis(10_000),
         budget_slack: 50.0,
+        heartbeat: HEARTBEAT,
         usage_window: Millis(5000),
         usage_due: Millis(10_000),
         lease: Millis(3000),
@@ -434,6 +450,10 @@
         register(&self.store, name, service, address);
     }
 
+    pub fn remove(&self, name: &str) {
+        self.store.remove(Stream::Endpoints, name);
+    }
+
     /// Publishes a document with `keys` as the valid keys.
     pub fn publish(&self, keys: &[&str]) {
         self.version.set(self.version.get() + 3);
