Log the caller's connection, the status and the size of each answer

The log could not tell an error that was spliced into a begun answer from a late second answer or from a wrong framing of the entry: a request's last line said neither what was written to the caller nor on which of its connections, an attempt's line not whether the caller had the beginning of an answer, and a caller that closed its connection because it could not read the answer left no line at all.

event=request and event=refused name the exchange (connection and position), event=request the status and bytes written, event=attempt whether an answer has begun and its last event. event=caller_left is logged.

--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -76,7 +76,8 @@
         detail,
     } = refusal;
     log::info!(
-        "event=refused id={id} status={} reason={reason} again_ms={} {detail}",
+        "event=refused id={id} exchange={} status={} reason={reason} again_ms={} {detail}",
+        reply.exchange,
         status.as_u16(),
         retry_after.unwrap_or_default()
     );
--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -15,6 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use cumin_entry::document::Limits;
 use cumin_types::Millis;
+use derive_more::Display;
 use futures_util::future::{Either, select};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -55,6 +56,14 @@
     pub(crate) received_at: Millis,
 }
 
+/// Identifies a request by the connection of its caller and its position there.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+#[display("{connection}/{position}")]
+pub(crate) struct ExchangeNumber {
+    connection: u64,
+    position: u32,
+}
+
 /// Writes the answer to one request.
 pub(crate) struct Reply<'a, 'b> {
     writer: &'a mut WriteHalf<'b>,
@@ -63,6 +72,11 @@
     /// Whether the head was written.
     pub(crate) head_written: bool,
     closing: bool,
+    pub(crate) exchange: ExchangeNumber,
+    /// Status of the answer, once its head was written.
+    status: Option<StatusCode>,
+    /// Bytes that were handed to the connection, framing included.
+    bytes: usize,
 }
 
 /// Time after which a write to a caller that does not read fails.
@@ -83,7 +97,11 @@
     ) -> io::Result<()> {
         if self.head_written {
             // The caller would take a second head for a part of the first answer's body.
-            log::error!("event=second_answer status={}", status.as_u16());
+            log::error!(
+                "event=second_answer exchange={} status={}",
+                self.exchange,
+                status.as_u16()
+            );
             return Err(io::Error::other("an answer has already begun"));
         }
         let mut response = Response::with_body(status, ());
@@ -94,6 +112,7 @@
                 .set_connection_type(actix_http::ConnectionType::Close);
         }
         self.head_written = true;
+        self.status = Some(status);
         self.codec
             .encode(Message::Item((response, size)), &mut self.output)
     }
@@ -149,7 +168,17 @@
         self.send(status, headers, &body).await
     }
 
+    /// Returns what was written, for the log.
+    pub(crate) fn written(&self) -> String {
+        let status = self.status.map_or(0, |status| status.as_u16());
+        format!(
+            "exchange={} status={status} bytes={}",
+            self.exchange, self.bytes
+        )
+    }
+
     async fn flush(&mut self) -> io::Result<()> {
+        self.bytes += self.output.len();
         let written = timeout(WRITE_TIMEOUT, self.writer.write_all(&self.output)).await;
         self.output.clear();
         written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
@@ -169,6 +198,10 @@
     let mut codec = Codec::new(node.http_config.clone());
     let mut input = BytesMut::new();
     let (mut reader, mut writer) = stream.split();
+    let mut exchange = ExchangeNumber {
+        connection: node.next_connection(),
+        position: 0,
+    };
     loop {
         let limits = node
             .table()
@@ -182,11 +215,12 @@
             &limits,
         )
         .await?;
+        exchange.position += 1;
         let inbound = match inbound {
             ReadOutcome::Request(inbound) => *inbound,
             ReadOutcome::Closed => return Ok(()),
             ReadOutcome::Invalid(status) => {
-                let mut reply = Reply::new(&mut writer, &mut codec, true);
+                let mut reply = Reply::new(&mut writer, &mut codec, true, exchange);
                 reply
                     .refuse(status, None, "the request can't be read")
                     .await?;
@@ -194,18 +228,24 @@
             }
         };
         let closing = node.stopping() || !codec.keep_alive();
-        let mut reply = Reply::new(&mut writer, &mut codec, closing);
+        let mut reply = Reply::new(&mut writer, &mut codec, closing, exchange);
         let end = {
             let served = pin!(serve_request(node, &inbound, &mut reply, role));
             let disconnected = pin!(read_ahead(&mut reader, &mut input));
             match select(served, disconnected).await {
-                Either::Left((end, _)) => end?,
-                Either::Right(((), _)) => {
-                    log::debug!("event=caller_left path={}", inbound.head.uri.path());
-                    return Ok(());
-                }
+                Either::Left((end, _)) => Some(end?),
+                Either::Right(((), _)) => None,
             }
         };
+        let Some(end) = end else {
+            let request = node.platform.dialect.parse_request(&inbound.head);
+            log::info!(
+                "event=caller_left id={} {}",
+                request.id.unwrap_or_default(),
+                reply.written()
+            );
+            return Ok(());
+        };
         if end == ReplyEnd::Truncated {
             return Ok(());
         }
@@ -216,13 +256,21 @@
 }
 
 impl<'a, 'b> Reply<'a, 'b> {
-    fn new(writer: &'a mut WriteHalf<'b>, codec: &'a mut Codec, closing: bool) -> Self {
+    fn new(
+        writer: &'a mut WriteHalf<'b>,
+        codec: &'a mut Codec,
+        closing: bool,
+        exchange: ExchangeNumber,
+    ) -> Self {
         Self {
             writer,
             codec,
             output: BytesMut::new(),
             head_written: false,
             closing,
+            exchange,
+            status: None,
+            bytes: 0,
         }
     }
 }
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -128,6 +128,8 @@
     pub(crate) phase: Cell<Phase>,
     /// Requests in progress.
     pub(crate) active: Cell<usize>,
+    /// Number of connections that callers opened.
+    accepted: Cell<u64>,
     /// Notified at each stage of a graceful stop.
     pub(crate) stop_notify: Notify,
     pub(crate) metrics: Metrics,
@@ -169,6 +171,7 @@
             idle_connections: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             active: Cell::new(0),
+            accepted: Cell::new(0),
             stop_notify: Notify::new(),
             metrics: Metrics::default(),
             bounds: Cell::new(settings.bounds),
@@ -206,6 +209,12 @@
         self.platform.clock.now()
     }
 
+    /// Returns the number of a connection that a caller has opened.
+    pub(crate) fn next_connection(&self) -> u64 {
+        self.accepted.update(|count| count + 1);
+        self.accepted.get()
+    }
+
     /// Returns the wall-clock time without its jumps, not corrected for drift.
     pub(crate) fn steady_wall(&self) -> WallMillis {
         WallMillis(saturating_u64(
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -112,7 +112,7 @@
             (ReplyEnd::Complete, "timeout")
         }
     };
-    active.record(outcome);
+    active.record(outcome, reply);
     Ok(end)
 }
 
@@ -122,11 +122,11 @@
     }
 
     /// Logs and counts the outcome.
-    fn record(&self, outcome: &'static str) {
+    fn record(&self, outcome: &'static str, reply: &Reply<'_, '_>) {
         let took_ms = self.node.now().since(self.inbound.received_at);
         log::info!(
             "event=request id={} route={} service={} org={} outcome={outcome} took_ms={took_ms} \
-             first_ms={} estimate_ms={:.0} endpoint={} sends={}",
+             first_ms={} estimate_ms={:.0} endpoint={} sends={} {}",
             self.id(),
             self.route.name,
             self.service,
@@ -134,7 +134,8 @@
             self.first_ms.get().unwrap_or_default(),
             self.estimate_ms,
             self.tried.last().map_or("-", EndpointName::as_str),
-            self.attempts_sent
+            self.attempts_sent,
+            reply.written()
         );
         let metrics = &self.node.metrics;
         let kind = kind_label(self.route.kind);
@@ -221,11 +222,14 @@
                 .inc();
             if !matches!(attempt_end, AttemptEnd::Answered(..)) {
                 log::info!(
-                    "event=attempt id={} endpoint={} result={reason} sends={} after_ms={}",
+                    "event=attempt id={} endpoint={} result={reason} sends={} after_ms={} begun={} \
+                     last_event={}",
                     self.id(),
                     endpoint.name,
                     self.attempts_sent,
-                    self.node.now().since(now)
+                    self.node.now().since(now),
+                    reply.head_written,
+                    events.last_id().unwrap_or_default()
                 );
             }
             match attempt_end {
