Let only Reply decide whether an answer is complete

Reply keeps the progress of its answer. An error, a refusal or another endpoint's answer that follows a begun answer truncates it in Reply itself, and only Reply issues a complete ReplyEnd, without which the connection is closed.

streams::resumption_ends plays 17 ends of a resumption.

--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -85,8 +85,7 @@
         .refusals
         .get_or_create(&ReasonLabel { reason })
         .inc();
-    reply.refuse(status, retry_after, reason).await?;
-    Ok(ReplyEnd::Complete)
+    reply.refuse(status, retry_after, reason).await
 }
 
 /// Decides whether a request may run.
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -302,15 +302,6 @@
             return Ok(AttemptEnd::Failed(head, body));
         }
         drop(flight);
-        if reply.head_written {
-            // The caller has the beginning of a stream, which an error does not continue.
-            log::info!(
-                "event=resumption_failed id={} endpoint={endpoint} status={}",
-                self.id(),
-                head.status.as_u16()
-            );
-            return Ok(AttemptEnd::Answered(ReplyEnd::Truncated, "cut_failed"));
-        }
         let (end, outcome) = self.forward(&head, &body, reply).await?;
         Ok(AttemptEnd::Answered(end, outcome))
     }
@@ -375,13 +366,21 @@
         reply: &mut Reply<'_, '_>,
     ) -> io::Result<(ReplyEnd, &'static str)> {
         let headers = self.node.platform.dialect.forwarded_headers(head);
-        reply.send(head.status, headers, body).await?;
+        let end = reply.send(head.status, headers, body).await?;
+        if !end.is_complete() {
+            log::info!(
+                "event=resumption_failed id={} endpoint={} status={}",
+                self.id(),
+                self.tried.last().map_or("-", EndpointName::as_str),
+                head.status.as_u16()
+            );
+        }
         let outcome = if head.status.is_success() {
             "done"
         } else {
             "failed"
         };
-        Ok((ReplyEnd::Complete, outcome))
+        Ok((end, end.outcome(outcome, "cut_failed")))
     }
 
     /// Relays a stream of events to the caller; an incomplete event is not forwarded.
@@ -438,7 +437,7 @@
             {
                 self.request_ran(flight, false);
             }
-            if !reply.head_written {
+            if !reply.has_begun() {
                 let headers = node.platform.dialect.forwarded_headers(&answer.head);
                 reply.begin(answer.head.status, headers)?;
             }
@@ -459,14 +458,13 @@
             return Ok(self.stream_broke(&error, flight, reply));
         }
         self.request_ran(flight, answer.until_close);
-        if !reply.head_written {
+        if !reply.has_begun() {
             let headers = node.platform.dialect.forwarded_headers(&answer.head);
             reply.begin(answer.head.status, headers)?;
         }
         flight.answered = true;
         self.release(&flight.endpoint, answer, answer_head);
-        reply.finish().await?;
-        Ok(AttemptEnd::Answered(ReplyEnd::Complete, "done"))
+        Ok(AttemptEnd::Answered(reply.finish().await?, "done"))
     }
 
     /// Classifies a broken stream: the answer is truncated if the caller already has a part of it
@@ -478,8 +476,8 @@
         reply: &Reply<'_, '_>,
     ) -> AttemptEnd {
         self.attempt_failed("torn_stream", flight, error);
-        if reply.head_written && !self.route.kind.is_repeatable() {
-            return AttemptEnd::Answered(ReplyEnd::Truncated, "cut_endpoint");
+        if reply.has_begun() && !self.route.kind.is_repeatable() {
+            return AttemptEnd::Answered(ReplyEnd::TRUNCATED, "cut_endpoint");
         }
         AttemptEnd::Broken
     }
--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -37,14 +37,40 @@
     Metrics,
 }
 
-/// State in which an exchange left the connection.
+/// How much of the answer to a request was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ReplyEnd {
-    /// The answer is complete.
+enum Progress {
+    Unanswered,
+    /// The caller can have the head and a part of the body.
+    Begun,
     Complete,
-    /// The answer is truncated; the connection is closed without terminating it, so that the caller
-    /// detects the truncation.
-    Truncated,
+}
+
+/// End of an answer. Only [`Reply`] declares one complete, so that no other code can do so, or
+/// follow it with another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ReplyEnd {
+    complete: bool,
+}
+
+impl ReplyEnd {
+    /// The answer can't be completed. The connection is closed without terminating it, so that the
+    /// caller detects the truncation.
+    pub(crate) const TRUNCATED: Self = Self { complete: false };
+
+    /// Returns whether the answer is complete.
+    pub(crate) const fn is_complete(self) -> bool {
+        self.complete
+    }
+
+    /// Returns the outcome for the log: `complete`, or `truncated` if the answer is not whole.
+    pub(crate) const fn outcome(
+        self,
+        complete: &'static str,
+        truncated: &'static str,
+    ) -> &'static str {
+        if self.complete { complete } else { truncated }
+    }
 }
 
 /// A complete request of a caller.
@@ -69,8 +95,7 @@
     writer: &'a mut WriteHalf<'b>,
     codec: &'a mut Codec,
     output: BytesMut,
-    /// Whether the head was written.
-    pub(crate) head_written: bool,
+    progress: Progress,
     closing: bool,
     pub(crate) exchange: ExchangeNumber,
     /// Status of the answer, once its head was written.
@@ -95,7 +120,7 @@
         headers: HeaderMap,
         size: BodySize,
     ) -> io::Result<()> {
-        if self.head_written {
+        if self.progress != Progress::Unanswered {
             // The caller would take a second head for a part of the first answer's body.
             log::error!(
                 "event=second_answer exchange={} status={}",
@@ -111,25 +136,34 @@
                 .head_mut()
                 .set_connection_type(actix_http::ConnectionType::Close);
         }
-        self.head_written = true;
+        self.progress = Progress::Begun;
         self.status = Some(status);
         self.codec
             .encode(Message::Item((response, size)), &mut self.output)
     }
 
-    /// Sends a complete answer.
+    /// Returns whether the caller can have the beginning of an answer.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.progress != Progress::Unanswered
+    }
+
+    /// Sends a complete answer, unless another one has begun, which is truncated: neither an error
+    /// nor another endpoint's answer continues it.
     pub(crate) async fn send(
         &mut self,
         status: StatusCode,
         headers: HeaderMap,
         body: &Bytes,
-    ) -> io::Result<()> {
+    ) -> io::Result<ReplyEnd> {
+        if self.progress == Progress::Begun {
+            return Ok(ReplyEnd::TRUNCATED);
+        }
         self.encode_head(status, headers, BodySize::Sized(body.len() as u64))?;
         if !body.is_empty() {
             let chunk = Message::Chunk(Some(body.clone()));
             self.codec.encode(chunk, &mut self.output)?;
         }
-        self.flush().await
+        self.complete().await
     }
 
     /// Starts an answer of unknown length.
@@ -145,18 +179,25 @@
     }
 
     /// Ends the body.
-    pub(crate) async fn finish(&mut self) -> io::Result<()> {
+    pub(crate) async fn finish(&mut self) -> io::Result<ReplyEnd> {
         self.codec.encode(Message::Chunk(None), &mut self.output)?;
-        self.flush().await
+        self.complete().await
+    }
+
+    async fn complete(&mut self) -> io::Result<ReplyEnd> {
+        self.flush().await?;
+        self.progress = Progress::Complete;
+        Ok(ReplyEnd { complete: true })
     }
 
-    /// Answers with an error and an optional `retry-after` header.
+    /// Answers with an error and an optional `retry-after` header, unless an answer has begun, which
+    /// is truncated.
     pub(crate) async fn refuse(
         &mut self,
         status: StatusCode,
         retry_after: Option<Millis>,
         reason: &str,
-    ) -> io::Result<()> {
+    ) -> io::Result<ReplyEnd> {
         let mut headers = HeaderMap::new();
         if let Some(retry_after) = retry_after {
             let text = format!("{:.3}", retry_after.duration().as_secs_f64());
@@ -246,7 +287,7 @@
             );
             return Ok(());
         };
-        if end == ReplyEnd::Truncated {
+        if !end.is_complete() {
             return Ok(());
         }
         if closing || !codec.keep_alive() {
@@ -266,7 +307,7 @@
             writer,
             codec,
             output: BytesMut::new(),
-            head_written: false,
+            progress: Progress::Unanswered,
             closing,
             exchange,
             status: None,
@@ -284,14 +325,14 @@
 ) -> io::Result<ReplyEnd> {
     let path = inbound.head.uri.path();
     match role {
-        Role::Callers => return crate::request::serve(node, inbound, reply).await,
+        Role::Callers => crate::request::serve(node, inbound, reply).await,
         Role::Ready if node.platform.dialect.is_readiness(path) => {
             let status = if node.ready() {
                 StatusCode::OK
             } else {
                 StatusCode::SERVICE_UNAVAILABLE
             };
-            reply.send(status, HeaderMap::new(), &Bytes::new()).await?;
+            reply.send(status, HeaderMap::new(), &Bytes::new()).await
         }
         Role::Directory => {
             let addresses = node.ready_addresses();
@@ -304,33 +345,32 @@
                     let status = StatusCode::SERVICE_UNAVAILABLE;
                     reply
                         .refuse(status, Some(DIRECTORY_TTL), "no node is ready")
-                        .await?;
+                        .await
                 }
                 Some(body) => {
                     let mut headers = HeaderMap::new();
                     let json = HeaderValue::from_static("application/json");
                     headers.insert(HeaderName::from_static("content-type"), json);
-                    reply.send(StatusCode::OK, headers, &body).await?;
+                    reply.send(StatusCode::OK, headers, &body).await
                 }
                 None => {
                     reply
                         .refuse(StatusCode::NOT_FOUND, None, "no such call")
-                        .await?;
+                        .await
                 }
             }
         }
         Role::Metrics => {
             crate::gossip::update_gauges(node);
             let body = Bytes::from(node.metrics.render());
-            reply.send(StatusCode::OK, HeaderMap::new(), &body).await?;
+            reply.send(StatusCode::OK, HeaderMap::new(), &body).await
         }
         Role::Ready => {
             reply
                 .refuse(StatusCode::NOT_FOUND, None, "no such call")
-                .await?;
+                .await
         }
     }
-    Ok(ReplyEnd::Complete)
 }
 
 /// Time that callers may cache an answer of the directory. It is short so that callers leave a
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -103,14 +103,12 @@
     };
     let time_left = Millis(active.deadline.since(node.now()));
     let served = tokio::time::timeout(time_left.duration(), active.run(reply)).await;
-    let (end, outcome) = match served {
-        Ok(served) => served?,
-        Err(_) if reply.head_written => (ReplyEnd::Truncated, "cut_deadline"),
-        Err(_) => {
-            let status = StatusCode::GATEWAY_TIMEOUT;
-            reply.refuse(status, None, "the time is over").await?;
-            (ReplyEnd::Complete, "timeout")
-        }
+    let (end, outcome) = if let Ok(served) = served {
+        served?
+    } else {
+        let status = StatusCode::GATEWAY_TIMEOUT;
+        let end = reply.refuse(status, None, "the time is over").await?;
+        (end, end.outcome("timeout", "cut_deadline"))
     };
     active.record(outcome, reply);
     Ok(end)
@@ -185,16 +183,16 @@
             let (endpoint, estimate_ms) = match choice {
                 Ok(chosen) => chosen,
                 Err((retry_after, reason, detail)) => {
-                    if reply.head_written {
-                        return Ok((ReplyEnd::Truncated, "cut_no_endpoint"));
+                    if reply.has_begun() {
+                        return Ok((ReplyEnd::TRUNCATED, "cut_no_endpoint"));
                     }
                     if let Some((head, body)) = failed {
                         return self.forward(&head, &body, reply).await;
                     }
                     if may_have_run {
                         let status = StatusCode::BAD_GATEWAY;
-                        reply.refuse(status, None, "the endpoint broke off").await?;
-                        return Ok((ReplyEnd::Complete, "broken"));
+                        let end = reply.refuse(status, None, "the endpoint broke off").await?;
+                        return Ok((end, "broken"));
                     }
                     self.refund_quota();
                     let id = self.request.id.clone().unwrap_or_default();
@@ -228,7 +226,7 @@
                     endpoint.name,
                     self.attempts_sent,
                     self.node.now().since(now),
-                    reply.head_written,
+                    reply.has_begun(),
                     events.last_id().unwrap_or_default()
                 );
             }
--- a/crates/cumin-serve/tests/all/streams.rs
+++ b/crates/cumin-serve/tests/all/streams.rs
@@ -1,6 +1,6 @@
 //! Event streams: only complete events are forwarded, and resumable streams are resumed.
 
-use crate::support::{Endpoint, Entry, Step, answer, chunk, last_chunk, run, stream_head};
+use crate::support::{Endpoint, Entry, Step, answer, body, chunk, last_chunk, run, stream_head};
 
 fn event(id: u32) -> String {
     format!("id: {id}\ndata: t{id}\n\n")
@@ -124,6 +124,77 @@
     });
 }
 
+/// However the resumption of a stream ends, its caller gets the events so far and nothing else: no
+/// second head, no refusal, no end that makes the answer look complete.
+#[test]
+fn resumption_ends() {
+    run(async {
+        let head = |text: &str| Step::Write(format!("HTTP/1.1 {text}\r\nX-Attempt-Id: ID\r\n"));
+        let tail = |text: &str| Step::Write(format!("{text}\r\n\r\n"));
+        let bare = |status: &str| vec![head(status), tail("Content-Length: 0")];
+        let unrun =
+            |status: &str| vec![head(status), tail("X-Not-Executed: 1\r\nContent-Length: 0")];
+        let sealed = "X-Response-Seal: s\r\nContent-Length: 0";
+        let ends = [
+            ("error", vec![answer(500, "the run failed")]),
+            ("error without seal", bare("500 X")),
+            ("success without seal", bare("200 X")),
+            (
+                "success without events",
+                vec![head("200 X"), tail("X-Response-Seal: s"), Step::Close],
+            ),
+            ("redirect", vec![head("302 X"), tail(sealed)]),
+            ("unmodified", vec![head("304 X"), tail(sealed)]),
+            ("full", unrun("503 X")),
+            ("too many", unrun("429 X")),
+            ("misdirected", unrun("421 X")),
+            ("reset", vec![Step::Reset]),
+            ("closed", vec![Step::Close]),
+            ("no answer", vec![Step::Hold]),
+            (
+                "no HTTP",
+                vec![Step::Write("\x01\x02 not http\r\n\r\n".into())],
+            ),
+            ("head only", vec![stream_head(), Step::Hold]),
+            (
+                "half an event",
+                vec![stream_head(), chunk("id: 2\nda"), Step::Reset],
+            ),
+            (
+                "an event's half",
+                vec![stream_head(), chunk("id: 2\nda"), last_chunk()],
+            ),
+            (
+                "no chunk",
+                vec![stream_head(), Step::Write("HTTP/1.1 200 OK\r\n\r\n".into())],
+            ),
+        ];
+        for (name, end) in ends {
+            let broken = vec![stream_head(), chunk(&event(1)), Step::Wait(20), Step::Reset];
+            let first = Endpoint::start(vec![broken]).await;
+            let second = Endpoint::start(vec![end]).await;
+            let entry = Entry::start(&[], &[&first, &second]).await;
+            let mut resumed = 0;
+            // The endpoint that is chosen first varies between requests.
+            for _ in 0..12 {
+                let before = first.count();
+                let got = entry.call("POST", "/resume/x", "", "prompt").await;
+                if first.count() == before || !got.starts_with("HTTP/1.1 200") {
+                    continue;
+                }
+                resumed += 1;
+                let text = event(1);
+                let expected = format!("{:X}\r\n{text}\r\n", text.len());
+                assert_eq!(body(&got), expected, "{name}");
+                if name == "no answer" || name == "head only" {
+                    break;
+                }
+            }
+            assert!(resumed > 0, "{name}");
+        }
+    });
+}
+
 /// The request of a caller that disconnects is aborted at the endpoint within half a second.
 #[test]
 fn caller_disconnects() {
