Write no body after a status that has none

Callers of a streaming route got "0\r\n\r\n" after the head of a 204, and callers of a plain route the body that the endpoint sent with a 204: bytes after a complete answer, which the next answer on the connection follows. The encoder of actix-http leaves out the framing header of a 204 but still writes chunks and the last chunk. A 304 that states the length of the body that it leaves out became a 502, since the entry waited for that body.

Answers with these statuses now have no body on either side, so that no chunk is encoded, and bytes that an endpoint sends after one are trailing bytes, which end the reuse of its connection.

--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -129,6 +129,11 @@
             );
             return Err(io::Error::other("an answer has already begun"));
         }
+        let size = if has_body(status) {
+            size
+        } else {
+            BodySize::None
+        };
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
         if self.closing {
@@ -226,6 +231,12 @@
     }
 }
 
+/// Returns whether an answer with this status may have a body. The encoder leaves out the framing
+/// header of the others, but not the bytes of a body or of its last chunk.
+pub(crate) const fn has_body(status: StatusCode) -> bool {
+    !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 /// Serves one connection until it ends.
 pub(crate) async fn serve(node: Rc<Node>, stream: TcpStream, role: Role) {
     let ended = serve_requests(&node, stream, role).await;
--- a/crates/cumin-serve/src/connection.rs
+++ b/crates/cumin-serve/src/connection.rs
@@ -12,15 +12,15 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap};
-use actix_http::{
-    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Uri,
-};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, Uri};
 use bytes::{Bytes, BytesMut};
 use cumin_types::Millis;
 use derive_more::{Display, Error};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
+use crate::caller::has_body;
+
 /// Errors of an exchange that yielded no complete answer.
 #[derive(Debug, Display, Error)]
 pub(crate) enum AnswerError {
@@ -217,13 +217,12 @@
 }
 
 fn unread_body(codec: ClientCodec, head: &ResponseHead, without_body: bool) -> Body {
-    let bodiless = without_body
-        || matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
+    // The length that such an answer states is that of the body that it leaves out.
+    if without_body || !has_body(head.status) {
+        return Body::None;
+    }
     match codec.message_type() {
-        MessageType::None if bodiless || head.headers.contains_key(CONTENT_LENGTH) => Body::None,
+        MessageType::None if head.headers.contains_key(CONTENT_LENGTH) => Body::None,
         // The codec treats an answer without a length as empty, but it lasts until the close.
         MessageType::None => Body::UntilClose,
         MessageType::Payload | MessageType::Stream => {
--- /dev/null
+++ b/crates/cumin-serve/tests/all/answer_framing.rs
@@ -0,0 +1,83 @@
+//! Framing of the answers that callers get: no byte follows a complete answer, and a truncated one
+//! does not look complete.
+
+use crate::support::{Endpoint, Entry, Step, answer, body, request, run, send};
+
+const SIGNED: &str = "X-Attempt-Id: ID\r\nX-Response-Seal: s\r\n";
+
+fn signed(status: u16, rest: &str) -> Step {
+    Step::Write(format!("HTTP/1.1 {status} X\r\n{SIGNED}{rest}"))
+}
+
+/// Returns a request after which the caller keeps its connection.
+fn kept(method: &str, path: &str, body: &str) -> String {
+    request(method, path, "", body).replace("Connection: close\r\n", "")
+}
+
+/// A status that has no body must not be followed by bytes of a body, not even on a route of
+/// streams, whose answers come in chunks.
+#[test]
+fn bodiless_status() {
+    run(async {
+        for (path, rest) in [
+            ("/stream/x", "\r\n"),
+            ("/stream/x", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            ("/unsafe/x", "\r\n"),
+            ("/unsafe/x", "Content-Length: 5\r\n\r\nwrong"),
+            (
+                "/unsafe/x",
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+            ),
+        ] {
+            let endpoint = Endpoint::start(vec![vec![signed(204, rest)]]).await;
+            let entry = Entry::start(&[&endpoint], &[&endpoint]).await;
+            let got = entry.call("POST", path, "", "book").await;
+            assert!(got.starts_with("HTTP/1.1 204"), "{path} {rest:?}: {got}");
+            assert_eq!(body(&got), "", "{path} {rest:?}: {got:?}");
+        }
+    });
+}
+
+/// A 304 may state the length of the body that it leaves out; the entry must not wait for it.
+#[test]
+fn not_modified() {
+    run(async {
+        let head = signed(304, "Content-Length: 10\r\n\r\n");
+        let endpoint = Endpoint::start(vec![vec![head], vec![answer(200, "next")]]).await;
+        let entry = Entry::start(&[&endpoint], &[]).await;
+        let got = entry.call("GET", "/safe/x", "", "").await;
+        assert!(got.starts_with("HTTP/1.1 304"), "{got}");
+        assert_eq!(body(&got), "", "{got}");
+        let got = entry.call("GET", "/safe/x", "", "").await;
+        assert_eq!(body(&got), "next", "{got}");
+    });
+}
+
+/// Answers to HEAD have no body, whoever writes them; the next answer follows the head at once.
+#[test]
+fn head_requests() {
+    run(async {
+        let head = signed(200, "Content-Length: 10\r\n\r\n");
+        let endpoint = Endpoint::start(vec![vec![head]]).await;
+        let entry = Entry::start(&[&endpoint], &[&endpoint]).await;
+        let calls = [
+            (entry.callers, "/safe/x", "200"),
+            (entry.callers, "/stream/x", "200"),
+            (entry.callers, "/nowhere", "404"),
+            (entry.directory, "/resolve?name=h", "200"),
+            (entry.directory, "/nowhere", "404"),
+        ];
+        for (address, path, status) in calls {
+            let text = kept("HEAD", path, "") + &request("HEAD", path, "", "");
+            let got = send(address, &text).await;
+            let heads: Vec<&str> = got.split_terminator("\r\n\r\n").collect();
+            assert_eq!(heads.len(), 2, "{path}: {got:?}");
+            for head in heads {
+                assert!(
+                    head.starts_with(&format!("HTTP/1.1 {status}")),
+                    "{path}: {got:?}"
+                );
+            }
+        }
+    });
+}
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests over real sockets: an entry between callers and scripted endpoints, with an in-memory
 //! store.
 
+mod answer_framing;
 mod answers;
 mod crashing_part;
 mod endless;
