Write the whole refusal of an unreadable request after HEAD

A caller that sent HEAD and then bytes that are no request got the head of a 400 with a content-length of 37 and none of those bytes: the codec still treated the answer as one to HEAD, since it remembers the method and the version of the last request that it could read.

answer_framing::refused_after_head failed before: the 400 had no body. Each request now starts with a new codec.

--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -404,6 +404,9 @@
     input: &mut BytesMut,
     limits: &Limits,
 ) -> io::Result<ReadOutcome> {
+    // A codec remembers the method and version of its last request, also where the next one can't be
+    // read.
+    *codec = Codec::new(node.http_config.clone());
     let mut since = node.now();
     let mut request: Option<(Request, BytesMut)> = None;
     loop {
--- a/crates/cumin-serve/tests/all/answer_framing.rs
+++ b/crates/cumin-serve/tests/all/answer_framing.rs
@@ -81,3 +81,23 @@
         }
     });
 }
+
+/// The refusal of a request that can't be read must be whole also after a HEAD request on the same
+/// connection.
+#[test]
+fn refused_after_head() {
+    run(async {
+        let head = signed(200, "Content-Length: 10\r\n\r\n");
+        let endpoint = Endpoint::start(vec![vec![head]]).await;
+        let entry = Entry::start(&[&endpoint], &[]).await;
+        let text = kept("HEAD", "/safe/x", "") + "no request\r\n\r\n";
+        let got = send(entry.callers, &text).await;
+        let at = got.find("HTTP/1.1 400").expect(&got);
+        let refusal = &got[at..];
+        let length = format!("content-length: {}\r\n", body(refusal).len());
+        assert!(
+            refusal.contains(&length) && !body(refusal).is_empty(),
+            "{got:?}"
+        );
+    });
+}
