End streams for HTTP/1.0 callers with the connection

A caller that speaks HTTP/1.0 got transfer-encoding: chunked and the sizes of chunks within its events: the encoder writes chunks whatever the version is. And where a caller keeps no chunks, a truncated stream that ends with a close looks complete.

Such streams now go out without chunks and end with the connection, which is reset unless the answer is complete.

--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -102,6 +102,10 @@
     status: Option<StatusCode>,
     /// Bytes that were handed to the connection, framing included.
     bytes: usize,
+    /// Whether the caller speaks HTTP/1.0, which has no chunks.
+    http_10: bool,
+    /// Whether the answer that was begun ends with the connection.
+    until_close: bool,
 }
 
 /// Time after which a write to a caller that does not read fails.
@@ -136,7 +140,9 @@
         };
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
-        if self.closing {
+        self.until_close = self.http_10 && size == BodySize::Stream;
+        response.head_mut().no_chunking(self.until_close);
+        if self.closing || self.until_close {
             response
                 .head_mut()
                 .set_connection_type(actix_http::ConnectionType::Close);
@@ -281,15 +287,21 @@
         };
         let closing = node.stopping() || !codec.keep_alive();
         let mut reply = Reply::new(&mut writer, &mut codec, closing, exchange);
+        reply.http_10 = inbound.head.version == Version::HTTP_10;
         let end = {
             let served = pin!(serve_request(node, &inbound, &mut reply, role));
             let disconnected = pin!(read_ahead(&mut reader, &mut input));
             match select(served, disconnected).await {
-                Either::Left((end, _)) => Some(end?),
+                Either::Left((end, _)) => Some(end),
                 Either::Right(((), _)) => None,
             }
         };
-        let Some(end) = end else {
+        let complete = matches!(&end, Some(Ok(end)) if end.is_complete());
+        if reply.until_close && !complete {
+            // Where the close ends the answer, only a reset shows that it is truncated.
+            reply.writer.as_ref().set_zero_linger()?;
+        }
+        let Some(end) = end.transpose()? else {
             let request = node.platform.dialect.parse_request(&inbound.head);
             log::info!(
                 "event=caller_left id={} {}",
@@ -323,6 +335,8 @@
             exchange,
             status: None,
             bytes: 0,
+            http_10: false,
+            until_close: false,
         }
     }
 }
--- a/crates/cumin-serve/tests/all/answer_framing.rs
+++ b/crates/cumin-serve/tests/all/answer_framing.rs
@@ -1,7 +1,15 @@
 //! Framing of the answers that callers get: no byte follows a complete answer, and a truncated one
 //! does not look complete.
 
-use crate::support::{Endpoint, Entry, Step, answer, body, request, run, send};
+use std::io;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::support::{
+    Endpoint, Entry, LIMIT, Step, answer, body, chunk, last_chunk, request, run, send, stream_head,
+};
 
 const SIGNED: &str = "X-Attempt-Id: ID\r\nX-Response-Seal: s\r\n";
 
@@ -101,3 +109,40 @@
         );
     });
 }
+
+/// Reads an answer and the way in which its connection ends.
+async fn read_answer(address: std::net::SocketAddr, text: &str) -> (String, io::Result<usize>) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let end = timeout(LIMIT, stream.read_to_end(&mut bytes)).await;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    (text, end.expect("the connection ends"))
+}
+
+/// A caller that speaks HTTP/1.0 knows no chunks: its stream ends with the connection, so a
+/// truncated one must be reset.
+#[test]
+fn old_caller() {
+    run(async {
+        let events = "id: 1\ndata: t1\n\n";
+        let whole = vec![stream_head(), chunk(events), Step::Wait(20), last_chunk()];
+        let broken = vec![stream_head(), chunk(events), Step::Wait(20), Step::Reset];
+        let stalled = vec![stream_head(), chunk(events), Step::Hold];
+        for (script, complete) in [(whole, true), (broken, false), (stalled, false)] {
+            let endpoint = Endpoint::start(vec![script]).await;
+            let entry = Entry::start(&[], &[&endpoint]).await;
+            for connection in ["close", "keep-alive"] {
+                let text = request("POST", "/stream/x", "", "prompt")
+                    .replace("HTTP/1.1", "HTTP/1.0")
+                    .replace("2500", "600")
+                    .replace("Connection: close", &format!("Connection: {connection}"));
+                let (got, end) = read_answer(entry.callers, &text).await;
+                assert!(got.starts_with("HTTP/1.0 200"), "{got:?}");
+                assert_eq!(body(&got), events, "{got:?}");
+                assert!(!got.to_lowercase().contains("transfer-encoding"), "{got:?}");
+                assert_eq!(end.is_ok(), complete, "{connection}: {got:?}");
+            }
+        }
+    });
+}
