--- a/crates/cumin-serve/tests/all/answer_framing.rs
+++ b/crates/cumin-serve/tests/all/answer_framing.rs
@@ -146,3 +146,93 @@
         }
     });
 }
+
+/// Headers of an endpoint that concern its own connection must not contradict the framing of the
+/// forwarded answer.
+#[test]
+fn endpoint_framing() {
+    run(async {
+        let head = signed(
+            200,
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\
+             Keep-Alive: timeout=5\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Twice: a\r\nX-Twice: b\r\n\r\n",
+        );
+        let events = "id: 1\ndata: t1\n\n";
+        let end = Step::Write("0\r\nX-Sum: 1\r\n\r\n".into());
+        let endpoint = Endpoint::start(vec![vec![head, chunk(events), end]]).await;
+        let entry = Entry::start(&[&endpoint], &[&endpoint]).await;
+        let got = entry
+            .call("POST", "/stream/x", "", "prompt")
+            .await
+            .to_lowercase();
+        assert_eq!(
+            got.matches("transfer-encoding: chunked").count(),
+            1,
+            "{got}"
+        );
+        for absent in ["content-length", "trailer", "x-hop", "x-sum", "keep-alive"] {
+            assert!(!got.contains(absent), "{absent}: {got}");
+        }
+        assert!(
+            got.contains("x-twice: a\r\n") && got.contains("x-twice: b\r\n"),
+            "{got}"
+        );
+        assert!(got.ends_with("0\r\n\r\n"), "{got}");
+        let got = entry
+            .call("POST", "/unsafe/x", "", "book")
+            .await
+            .to_lowercase();
+        assert!(got.contains("content-length: 16\r\n"), "{got}");
+        assert_eq!(got.matches("content-length").count(), 1, "{got}");
+        assert!(!got.contains("transfer-encoding"), "{got}");
+    });
+}
+
+/// A head that can be read in two ways is no answer.
+#[test]
+fn ambiguous_heads() {
+    run(async {
+        for rest in [
+            "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+            "Content-Length: 2\r\nX-Folded: a\r\n HTTP/1.1 200 X\r\n\r\nok",
+            "Content-Length: 2\r\nX-Split: a\rHTTP/1.1 200 X\r\n\r\nok",
+            "Content-Length: 2\r\nX-Nul: \0\r\n\r\nok",
+            "Content-Length: 2\r\nX Name: a\r\n\r\nok",
+        ] {
+            let endpoint = Endpoint::start(vec![vec![signed(200, rest), Step::Close]]).await;
+            let entry = Entry::start(&[&endpoint], &[]).await;
+            let got = entry.call("POST", "/unsafe/x", "", "book").await;
+            assert!(got.starts_with("HTTP/1.1 502"), "{rest:?}: {got:?}");
+        }
+    });
+}
+
+/// A `Connection` header must not remove the headers that tell whose answer, and whose request, a
+/// message is.
+#[test]
+fn listed_headers() {
+    run(async {
+        let listing = "Connection: X-Response-Seal, X-Attempt-Id\r\nContent-Length: 2\r\n\r\nok";
+        let endpoint = Endpoint::start(vec![vec![signed(200, listing)]]).await;
+        let entry = Entry::start(&[&endpoint], &[]).await;
+        let extra = "Connection: X-Attempt-Id, X-Model, X-Token-Count, X-Prompt-Prefix\r\n\
+                     X-Model: m\r\nX-Token-Count: 1,1\r\nX-Prompt-Prefix: 1:1\r\n";
+        let got = entry.call("POST", "/unsafe/x", extra, "book").await;
+        assert!(got.contains("x-response-seal: s\r\n"), "{got}");
+        assert!(got.contains("x-attempt-id: abc123\r\n"), "{got}");
+        let received = endpoint.received.borrow();
+        for name in [
+            "x-attempt-id",
+            "x-model",
+            "x-token-count",
+            "x-prompt-prefix",
+        ] {
+            assert!(
+                received[0].header(name).is_some(),
+                "{name}: {}",
+                received[0].head
+            );
+        }
+    });
+}
