Take no other answer for that to a request without an identifier

A caller that sends no identifier got whatever answer came first on the endpoint's connection, also one that bears another request's identifier or two of them: the check accepted every answer. An answer without an identifier on a reused connection may be a late copy of an earlier one.

unnamed_requests::other_identifier failed before (the body was that of the other answer), late_copy as well (the connection was reused).

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -147,8 +147,7 @@
             has_body: self.inbound.has_body,
         };
         let is_own = |head: &ResponseHead| {
-            self.request.id.is_none()
-                || dialect.parse_answer(head).id.as_deref() == self.request.id.as_deref()
+            dialect.parse_answer(head).id.as_deref() == self.request.id.as_deref()
         };
         let exchange = connection.exchange(&node.http_config, outbound, is_own);
         let timeout = self.answer_timeout(need, estimate_ms);
@@ -483,9 +482,12 @@
     }
 
     /// Returns an idle connection to the endpoint, or a new one.
+    ///
+    /// A late answer cannot be told from that to a request without an identifier, so such a request
+    /// gets a connection that no other request has used.
     async fn acquire(&self, endpoint: &Endpoint) -> io::Result<Connection> {
         let now = self.node.now();
-        loop {
+        while self.request.id.is_some() {
             let connection = {
                 let mut idle_connections = self.node.idle_connections.borrow_mut();
                 idle_connections.get_mut(&endpoint.name).and_then(Vec::pop)
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -14,3 +14,4 @@
 mod streams;
 mod support;
 mod unframed;
+mod unnamed_requests;
