Log whose stray answers and trailing bytes an endpoint sends

The line of a stray answer had its status only, and bytes after a complete answer left no line, so a late second answer could not be told from a fault of the entry. Both now name request and endpoint, and a stray answer's line the identifier that it bears.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -147,7 +147,18 @@
             has_body: self.inbound.has_body,
         };
         let is_own = |head: &ResponseHead| {
-            dialect.parse_answer(head).id.as_deref() == self.request.id.as_deref()
+            let answered = dialect.parse_answer(head).id;
+            let own = answered.as_deref() == self.request.id.as_deref();
+            if !own {
+                log::warn!(
+                    "event=stray_answer id={} endpoint={} status={} answered={:?}",
+                    self.id(),
+                    endpoint.name,
+                    head.status.as_u16(),
+                    cut(answered.as_deref().unwrap_or_default())
+                );
+            }
+            own
         };
         let exchange = connection.exchange(&node.http_config, outbound, is_own);
         let timeout = self.answer_timeout(need, estimate_ms);
@@ -493,7 +504,11 @@
                 idle_connections.get_mut(&endpoint.name).and_then(Vec::pop)
             };
             let Some(connection) = connection else { break };
-            if is_reusable(&connection, now) && connection.is_open() {
+            let unsolicited = connection.unsolicited();
+            if let Ok(bytes @ 1..) = unsolicited {
+                log_trailing(connection.answered.as_deref(), &endpoint.name, bytes);
+            }
+            if is_reusable(&connection, now) && matches!(unsolicited, Ok(0)) {
                 return Ok(connection);
             }
         }
@@ -503,8 +518,13 @@
 
     /// Keeps the connection of a finished answer for another request.
     fn release(&self, endpoint: &EndpointName, answer: Answer, answer_head: &AnswerHead) {
+        let trailing = answer.trailing_bytes();
+        if trailing > 0 {
+            log_trailing(self.request.id.as_deref(), endpoint, trailing);
+        }
         if let Some(mut connection) = answer.into_connection() {
             connection.idle = (self.node.now(), answer_head.keep_alive);
+            connection.answered.clone_from(&self.request.id);
             let mut idle_connections = self.node.idle_connections.borrow_mut();
             idle_connections
                 .entry(endpoint.clone())
@@ -521,6 +541,20 @@
     now.since(idle_since) < limit_ms
 }
 
+/// Maximum number of characters of an endpoint's text in a log line.
+const MAX_LOGGED_CHARS: usize = 64;
+
+fn cut(text: &str) -> &str {
+    let end = text.char_indices().nth(MAX_LOGGED_CHARS);
+    &text[..end.map_or(text.len(), |(at, _)| at)]
+}
+
+/// Logs bytes that follow the complete answer to request `id` and belong to no request.
+fn log_trailing(id: Option<&str>, endpoint: &EndpointName, bytes: usize) {
+    let id = id.unwrap_or_default();
+    log::warn!("event=trailing_bytes id={id} endpoint={endpoint} bytes={bytes}");
+}
+
 fn count_usage(node: &Node, org: &Organisation) {
     node.usage.borrow_mut().add(node.usage_window(), org);
 }
--- a/crates/cumin-serve/src/connection.rs
+++ b/crates/cumin-serve/src/connection.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_codec::{Decoder, Encoder};
@@ -59,6 +60,8 @@
     pub(crate) requests: u32,
     /// Time since which it is idle, and the time that the endpoint keeps it open.
     pub(crate) idle: (Millis, Option<Millis>),
+    /// Identifier of the request that was answered last on it.
+    pub(crate) answered: Option<Arc<str>>,
 }
 
 /// A request to an endpoint.
@@ -101,14 +104,24 @@
             unusable: false,
             requests: 0,
             idle: (Millis(0), None),
+            answered: None,
         })
     }
 
     /// Returns whether an idle connection is still open and without unsolicited input.
     pub(crate) fn is_open(&self) -> bool {
-        let mut byte = [0];
-        let read = self.stream.try_read(&mut byte);
-        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        matches!(self.unsolicited(), Ok(0))
+    }
+
+    /// Reads the input of an idle connection, and returns its size in bytes, of at most 4 KiB; fails
+    /// if the connection is closed. With any input it must not be reused.
+    pub(crate) fn unsolicited(&self) -> io::Result<usize> {
+        let mut bytes = [0; 4096];
+        match self.stream.try_read(&mut bytes) {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            read => read,
+        }
     }
 
     /// Sends a request and reads up to the first answer head that `is_own` accepts.
@@ -151,7 +164,6 @@
             if is_own(&answer.head) {
                 return Ok(answer);
             }
-            log::warn!("event=stray_answer status={}", answer.head.status.as_u16());
             stray += 1;
             if stray > MAX_STRAY_ANSWERS {
                 return Err(AnswerError::Malformed(
@@ -311,6 +323,14 @@
         }
     }
 
+    /// Returns the number of bytes that were read after the end of the answer.
+    pub(crate) fn trailing_bytes(&self) -> usize {
+        match self.body {
+            Body::None => self.connection.input.len(),
+            Body::Framed(_) | Body::UntilClose => 0,
+        }
+    }
+
     /// Returns the connection if it may be reused: the answer was read to its end, and nothing
     /// follows it.
     pub(crate) fn into_connection(self) -> Option<Connection> {
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod endpoint_limit;
 mod keys;
+mod log_lines;
 mod requests;
 mod silent_store;
 mod sink;
