Log requests that are refused before they were read whole

A 400, 408, 413 or 431 of the request reader left no line, so a caller that reports one could not be found in the logs, nor could a refusal that follows the bytes of a body be told from one of a whole request.

--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -428,14 +428,24 @@
             let message = match codec.decode(input) {
                 Ok(Some(message)) => message,
                 Ok(None) => break,
-                Err(error) => return Ok(ReadOutcome::Invalid(parse_error_status(&error))),
+                Err(error) => {
+                    let status = parse_error_status(&error);
+                    return Ok(unreadable(
+                        node,
+                        request.as_ref(),
+                        status,
+                        &error.to_string(),
+                    ));
+                }
             };
             match (message, &mut request) {
                 (Message::Item(head), None) => {
                     if matches!(*head.method(), Method::CONNECT)
                         || codec.message_type() == MessageType::Stream
                     {
-                        return Ok(ReadOutcome::Invalid(StatusCode::BAD_REQUEST));
+                        let head = (head, BytesMut::new());
+                        let status = StatusCode::BAD_REQUEST;
+                        return Ok(unreadable(node, Some(&head), status, "a tunnel"));
                     }
                     if codec.message_type() == MessageType::None {
                         return Ok(complete_request(node, &head, BytesMut::new(), false));
@@ -447,8 +457,10 @@
                     request = Some((head, BytesMut::new()));
                 }
                 (Message::Chunk(Some(bytes)), Some((_, body))) => {
-                    if body.len() + bytes.len() > limits.body_bytes {
-                        return Ok(ReadOutcome::Invalid(StatusCode::PAYLOAD_TOO_LARGE));
+                    let too_large = body.len() + bytes.len() > limits.body_bytes;
+                    if too_large {
+                        let status = StatusCode::PAYLOAD_TOO_LARGE;
+                        return Ok(unreadable(node, request.as_ref(), status, "a large body"));
                     }
                     body.extend_from_slice(&bytes);
                 }
@@ -456,14 +468,14 @@
                     return Ok(complete_request(node, head, std::mem::take(body), true));
                 }
                 (Message::Chunk(_), None) | (Message::Item(_), Some(_)) => {
-                    return Ok(ReadOutcome::Invalid(StatusCode::BAD_REQUEST));
+                    let status = StatusCode::BAD_REQUEST;
+                    return Ok(unreadable(node, request.as_ref(), status, "no framing"));
                 }
             }
         }
         if request.is_none() && input.len() > limits.head_bytes {
-            return Ok(ReadOutcome::Invalid(
-                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            ));
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Ok(unreadable(node, None, status, "a large head"));
         }
         let idle = request.is_none() && input.is_empty();
         let allowed = match (&request, idle) {
@@ -492,7 +504,10 @@
             }
             Some(Ok(Err(error))) => return Err(error),
             Some(Err(_)) if idle => return Ok(ReadOutcome::Closed),
-            Some(Err(_)) => return Ok(ReadOutcome::Invalid(StatusCode::REQUEST_TIMEOUT)),
+            Some(Err(_)) => {
+                let status = StatusCode::REQUEST_TIMEOUT;
+                return Ok(unreadable(node, request.as_ref(), status, "slow"));
+            }
         }
     }
 }
@@ -509,6 +524,23 @@
     }))
 }
 
+/// Logs a request that can't be read, with its identifier if the head was read.
+fn unreadable(
+    node: &Node,
+    request: Option<&(Request, BytesMut)>,
+    status: StatusCode,
+    reason: &str,
+) -> ReadOutcome {
+    let id = request.and_then(|(head, _)| node.platform.dialect.parse_request(head.head()).id);
+    log::info!(
+        "event=unreadable_request id={} status={} body_bytes={} reason={reason:?}",
+        id.as_deref().unwrap_or_default(),
+        status.as_u16(),
+        request.map_or(0, |(_, body)| body.len())
+    );
+    ReadOutcome::Invalid(status)
+}
+
 fn parse_error_status(error: &ParseError) -> StatusCode {
     match error {
         ParseError::TooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
--- a/crates/cumin-serve/tests/all/log_lines.rs
+++ b/crates/cumin-serve/tests/all/log_lines.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 
-use crate::support::{Endpoint, Entry, Step, answer, body, run};
+use crate::support::{Endpoint, Entry, Step, answer, body, request, run, send};
 
 /// Keeps the lines of each thread, and so of each test.
 struct Lines;
@@ -93,3 +93,29 @@
         }
     });
 }
+
+/// A refusal of the reader is logged, with the request's identifier once its head was read.
+#[test]
+fn unreadable_request() {
+    collect();
+    run(async {
+        let entry = Entry::start(&[], &[]).await;
+        let large = request("POST", "/unsafe/x", "", &"x".repeat(100_001));
+        let chunked = "Transfer-Encoding: chunked\r\n";
+        let broken = request("POST", "/unsafe/x", chunked, "") + "4\r\nbook\r\nzz\r\n";
+        let long = format!("GET /x HTTP/1.1\r\nX-Long: {}", "y".repeat(20_000));
+        for (text, status, id) in [
+            (large, "413", "abc123"),
+            (broken, "400", "abc123"),
+            ("no request\r\n\r\n".to_owned(), "400", ""),
+            (long, "431", ""),
+            ("GET /safe/x HTTP/1.1\r\nHost:".to_owned(), "408", ""),
+        ] {
+            let got = send(entry.callers, &text).await;
+            assert!(got.starts_with(&format!("HTTP/1.1 {status}")), "{got}");
+            let line = lines("unreadable_request").pop().unwrap();
+            let start = format!("event=unreadable_request id={id} status={status} ");
+            assert!(line.starts_with(&start), "{line}");
+        }
+    });
+}
