Skip line ends between requests

A caller that sends a line end after a body got a 408 half a second later on a connection on which no request waited, and took it for the answer to its next request. Line ends are skipped between requests, as RFC 9112 suggests.

early_refusals::line_ends_after failed before with that 408.

--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -12,7 +12,7 @@
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, Request, RequestHead, Response, StatusCode, Version};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use cumin_entry::document::Limits;
 use cumin_types::Millis;
 use derive_more::Display;
@@ -424,6 +424,9 @@
     let mut since = node.now();
     let mut request: Option<(Request, BytesMut)> = None;
     loop {
+        if request.is_none() {
+            skip_line_ends(input);
+        }
         loop {
             let message = match codec.decode(input) {
                 Ok(Some(message)) => message,
@@ -498,7 +501,8 @@
         match wait.await {
             None | Some(Ok(Ok(0))) => return Ok(ReadOutcome::Closed),
             Some(Ok(Ok(_))) => {
-                if idle {
+                // Line ends do not extend the time for which a connection may be idle.
+                if idle && skip_line_ends(input) {
                     since = node.now();
                 }
             }
@@ -512,6 +516,15 @@
     }
 }
 
+/// Skips line ends before a request, which some callers send after a body, and returns whether
+/// anything follows them.
+fn skip_line_ends(input: &mut BytesMut) -> bool {
+    let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+    let count = input.iter().take_while(is_line_end).count();
+    input.advance(count);
+    !input.is_empty()
+}
+
 /// Time after which reading a body fails: the longest time that callers of the users wait.
 const BODY_TIMEOUT: Millis = Millis(15_000);
 
--- a/crates/cumin-serve/tests/all/early_refusals.rs
+++ b/crates/cumin-serve/tests/all/early_refusals.rs
@@ -137,6 +137,30 @@
     });
 }
 
+/// Line ends after a request, which some callers send, are no request: an idle connection must not
+/// get an answer to them.
+#[test]
+fn line_ends_after() {
+    run(async {
+        let endpoint = Endpoint::start(vec![vec![answer(200, "ok")]]).await;
+        let entry = Entry::start(&[&endpoint], &[]).await;
+        let first = kept("POST", "/unsafe/x", "", "book") + "\r\n";
+        let second = request("POST", "/unsafe/x", "", "page");
+        let mut stream = TcpStream::connect(entry.callers).await.unwrap();
+        stream.write_all(first.as_bytes()).await.unwrap();
+        // Longer than the time limit of a head.
+        sleep(Duration::from_millis(900)).await;
+        stream.write_all(second.as_bytes()).await.unwrap();
+        let mut got = String::new();
+        timeout(LIMIT, stream.read_to_string(&mut got))
+            .await
+            .unwrap()
+            .unwrap();
+        assert_eq!(got.matches("HTTP/1.1 200").count(), 2, "{got:?}");
+        assert_eq!(answers(&got), 2, "{got:?}");
+    });
+}
+
 /// A deadline that passes while an answer is being written to a slow caller ends the connection;
 /// no other answer follows the part that was written.
 #[test]
