Find the end of events whose lines end in CRLF

A stream whose engine ends its lines in CRLF, as the format of server-sent events allows, was buffered until its end and then refused with 502: only two LF in a row ended an event.

event_text::sound_events failed before with that 502 for its CRLF text.

--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -13,7 +13,8 @@
     searched: usize,
 }
 
-const EVENT_END: &[u8] = b"\n\n";
+/// Size of the longest end of an event: the LF of its last line and an empty line that ends in CRLF.
+const MAX_END_BYTES: usize = 3;
 
 /// Maximum size of an event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -52,7 +53,7 @@
         let mut complete = BytesMut::new();
         self.completed = 0;
         while let Some(end) = find_event_end(&self.partial[self.searched..]) {
-            let event = self.partial.split_to(self.searched + end + EVENT_END.len());
+            let event = self.partial.split_to(self.searched + end);
             self.searched = 0;
             let id = event_id(&event);
             let delivered = id.is_some_and(|id| self.last_id.is_some_and(|last_id| id <= last_id));
@@ -64,15 +65,20 @@
             complete.extend_from_slice(&event);
         }
         // The end of an event may be split between two calls.
-        self.searched = self.partial.len().saturating_sub(EVENT_END.len() - 1);
+        self.searched = self.partial.len().saturating_sub(MAX_END_BYTES - 1);
         complete.freeze()
     }
 }
 
+/// Returns the position after the first empty line, which ends in LF or CRLF.
 fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    bytes
-        .windows(EVENT_END.len())
-        .position(|pair| pair == EVENT_END)
+    let ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    ends.map(|(at, _)| at + 1)
+        .find_map(|next| match bytes[next..] {
+            [b'\n', ..] => Some(next + 1),
+            [b'\r', b'\n', ..] => Some(next + 2),
+            _ => None,
+        })
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod early_refusals;
 mod endless;
 mod endpoint_limit;
+mod event_text;
 mod keys;
 mod log_lines;
 mod requests;
