End a stream at text that is no event

Where an engine's stream has no length, the bytes after it up to the close became part of it: another answer's head went to the caller as an event, followed by the events of that answer, and the stream looked complete. The same held for any text up to an empty line.

Text without a field of an event or a comment, with a NUL or with the line of a status now ends the attempt like any bytes that are no answer: the stream is cut, or resumed where the route allows it. What can't be detected: text after a plain answer without a length.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -408,6 +408,10 @@
         let limit = self.stall_limit();
         let mut progress = Instant::now();
         loop {
+            if let Some(fault) = events.fault() {
+                let error = AnswerError::Malformed(fault.into());
+                return Ok(self.stream_broke(&error, flight, reply));
+            }
             let next = tokio::time::timeout_at(progress + limit.duration(), answer.next()).await;
             let bytes = match next.unwrap_or(Err(AnswerError::Stalled(limit))) {
                 Ok(Some(bytes)) => bytes,
@@ -420,10 +424,6 @@
                 .endpoint_heard(&flight.endpoint, now);
             let last_id = events.last_id();
             let complete = events.push(&bytes);
-            if events.is_oversized() {
-                let error = AnswerError::Malformed("an event without end".into());
-                return Ok(self.stream_broke(&error, flight, reply));
-            }
             if complete.is_empty() {
                 continue;
             }
--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -11,6 +11,8 @@
     completed: u32,
     /// Bytes at the start of `partial` that hold no end of an event.
     searched: usize,
+    /// Why no more events of this attempt are returned.
+    fault: Option<&'static str>,
 }
 
 /// Size of the longest end of an event: the LF of its last line and an empty line that ends in CRLF.
@@ -34,11 +36,14 @@
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
         self.searched = 0;
+        self.fault = None;
     }
 
-    /// Returns whether the incomplete event is longer than any event may be.
-    pub(crate) fn is_oversized(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
+    /// Returns why the rest of this attempt's stream must not be forwarded, if so.
+    pub(crate) fn fault(&self) -> Option<&'static str> {
+        let oversized = self.partial.len() > MAX_EVENT_BYTES;
+        self.fault
+            .or_else(|| oversized.then_some("an event without end"))
     }
 
     /// Returns whether the stream so far ends with a complete event.
@@ -47,7 +52,7 @@
     }
 
     /// Adds bytes of the stream and returns the events that they complete, except those that the
-    /// caller already has.
+    /// caller already has, up to the first fault.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
@@ -55,6 +60,12 @@
         while let Some(end) = find_event_end(&self.partial[self.searched..]) {
             let event = self.partial.split_to(self.searched + end);
             self.searched = 0;
+            if !is_event(&event) {
+                self.fault = Some("text that is no event");
+            }
+            if self.fault.is_some() {
+                break;
+            }
             let id = event_id(&event);
             let delivered = id.is_some_and(|id| self.last_id.is_some_and(|last_id| id <= last_id));
             if delivered {
@@ -81,6 +92,22 @@
         })
 }
 
+/// Returns whether text up to an empty line may be an event: it has a field of an event or a
+/// comment, and neither a NUL nor the status line of an answer that follows the stream.
+fn is_event(text: &[u8]) -> bool {
+    const FIELDS: [&[u8]; 4] = [b"id", b"data", b"event", b"retry"];
+    let lines = || {
+        let lines = text.split(|byte| *byte == b'\n');
+        lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+    };
+    let is_field = |line: &[u8]| {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        FIELDS.contains(&name) || line.starts_with(b":")
+    };
+    let is_known = lines().any(is_field) || lines().all(<[u8]>::is_empty);
+    is_known && !text.contains(&0) && !lines().any(|line| line.starts_with(b"HTTP/1."))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/cumin-serve/tests/all/event_text.rs
+++ b/crates/cumin-serve/tests/all/event_text.rs
@@ -54,3 +54,45 @@
         }
     });
 }
+
+/// Text that is no event must not be forwarded as one, and the answer must not look complete.
+#[test]
+fn no_event() {
+    run(async {
+        for junk in [
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 4\r\n\r\njunk",
+            "HTTP/1.1 200 OK\nX-Attempt-Id: other\n\njunk\n\n",
+            "\0\0junk\n\n",
+            "junk\n\n",
+        ] {
+            let script = vec![stream_head(), chunk(&event(1)), chunk(junk), last_chunk()];
+            let got = stream_answer("/stream/x", script).await;
+            assert!(!is_terminated(&got), "{junk:?}: {got:?}");
+            assert_eq!(decoded(&got), event(1), "{junk:?}");
+        }
+    });
+}
+
+/// Another answer after a stream without a length must not become part of it.
+#[test]
+fn second_answer() {
+    run(async {
+        let head =
+            Step::Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n\r\n".into());
+        for second in [
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\nid: 2\ndata: other\n\n",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 4\r\n\r\njunk",
+        ] {
+            let script = vec![
+                head.clone(),
+                Step::Write(event(1)),
+                Step::Wait(20),
+                Step::Write(second.into()),
+                Step::Close,
+            ];
+            let got = stream_answer("/stream/x", script).await;
+            assert!(!is_terminated(&got), "{got:?}");
+            assert_eq!(decoded(&got), event(1));
+        }
+    });
+}
