Do not join the events of another run to a stream

Where the identifiers of an engine's stream go back, another run follows the first one. Its events with known identifiers were dropped as repeated, and those after them joined to the first run, in a stream that looked complete.

event_text::other_run failed before: 1, 2, 3 and 9 of two runs. Within one attempt an identifier that is smaller than the one before it now ends the attempt. A repeated one is still dropped, and one that skips numbers is passed on, since the protocol only says that identifiers increase.

--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -7,6 +7,8 @@
 pub(crate) struct EventSplitter {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Identifier of the last event of this attempt.
+    attempt_id: Option<u64>,
     /// Events that the last call of [`push`](Self::push) completed.
     completed: u32,
     /// Bytes at the start of `partial` that hold no end of an event.
@@ -36,6 +38,7 @@
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
         self.searched = 0;
+        self.attempt_id = None;
         self.fault = None;
     }
 
@@ -60,13 +63,16 @@
         while let Some(end) = find_event_end(&self.partial[self.searched..]) {
             let event = self.partial.split_to(self.searched + end);
             self.searched = 0;
+            let id = event_id(&event);
             if !is_event(&event) {
                 self.fault = Some("text that is no event");
+            } else if id.is_some() && id < self.attempt_id {
+                self.fault = Some("the events of another run");
             }
             if self.fault.is_some() {
                 break;
             }
-            let id = event_id(&event);
+            self.attempt_id = id.or(self.attempt_id);
             let delivered = id.is_some_and(|id| self.last_id.is_some_and(|last_id| id <= last_id));
             if delivered {
                 continue;
--- a/crates/cumin-serve/tests/all/event_text.rs
+++ b/crates/cumin-serve/tests/all/event_text.rs
@@ -96,3 +96,16 @@
         }
     });
 }
+
+/// Identifiers increase within one run; where one goes back, pieces of another run follow, which
+/// must not be joined to the first.
+#[test]
+fn other_run() {
+    run(async {
+        let text = event(1) + &event(2) + &event(3) + &event(1) + &event(2) + &event(9);
+        let script = vec![stream_head(), chunk(&text), last_chunk()];
+        let got = stream_answer("/stream/x", script).await;
+        assert!(!is_terminated(&got), "{got:?}");
+        assert_eq!(decoded(&got), event(1) + &event(2) + &event(3));
+    });
+}
