Do not resume a stream whose events have no identifier

The events of such a stream came twice when its connection broke on a route that may be resumed: with no Last-Event-Id the next endpoint began anew, and with one from an earlier event it repeated what followed that.

event_text::without_identifiers and missing_identifier failed before with those repeated events. A stream is now truncated rather than resumed once an event with data but without an identifier was passed on; its caller may resume it by itself.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -410,13 +410,13 @@
         loop {
             if let Some(fault) = events.fault() {
                 let error = AnswerError::Malformed(fault.into());
-                return Ok(self.stream_broke(&error, flight, reply));
+                return Ok(self.stream_broke(&error, flight, events, reply));
             }
             let next = tokio::time::timeout_at(progress + limit.duration(), answer.next()).await;
             let bytes = match next.unwrap_or(Err(AnswerError::Stalled(limit))) {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => break,
-                Err(error) => return Ok(self.stream_broke(&error, flight, reply)),
+                Err(error) => return Ok(self.stream_broke(&error, flight, events, reply)),
             };
             let now = node.now();
             node.selector
@@ -460,12 +460,12 @@
         }
         if !events.is_complete() {
             let error = AnswerError::Malformed("the stream ends within an event".into());
-            return Ok(self.stream_broke(&error, flight, reply));
+            return Ok(self.stream_broke(&error, flight, events, reply));
         }
         if answer.until_close && is_first {
             // The connection of an endpoint that crashes ends in the same way.
             let error = AnswerError::Closed(io::ErrorKind::UnexpectedEof.into());
-            return Ok(self.stream_broke(&error, flight, reply));
+            return Ok(self.stream_broke(&error, flight, events, reply));
         }
         self.request_ran(flight, answer.until_close);
         if !reply.has_begun() {
@@ -483,10 +483,12 @@
         &self,
         error: &AnswerError,
         flight: &InFlight<'_>,
+        events: &EventSplitter,
         reply: &Reply<'_, '_>,
     ) -> AttemptEnd {
         self.attempt_failed("torn_stream", flight, error);
-        if reply.has_begun() && !self.route.kind.is_repeatable() {
+        let resumable = self.route.kind.is_repeatable() && !events.is_unnumbered();
+        if reply.has_begun() && !resumable {
             return AttemptEnd::Answered(ReplyEnd::TRUNCATED, "cut_endpoint");
         }
         AttemptEnd::Broken
--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -9,6 +9,8 @@
     last_id: Option<u64>,
     /// Identifier of the last event of this attempt.
     attempt_id: Option<u64>,
+    /// Whether an event with data but without an identifier was returned.
+    unnumbered: bool,
     /// Events that the last call of [`push`](Self::push) completed.
     completed: u32,
     /// Bytes at the start of `partial` that hold no end of an event.
@@ -42,6 +44,12 @@
         self.fault = None;
     }
 
+    /// Returns whether the caller has an event that a resumption could repeat: one without an
+    /// identifier.
+    pub(crate) const fn is_unnumbered(&self) -> bool {
+        self.unnumbered
+    }
+
     /// Returns why the rest of this attempt's stream must not be forwarded, if so.
     pub(crate) fn fault(&self) -> Option<&'static str> {
         let oversized = self.partial.len() > MAX_EVENT_BYTES;
@@ -73,6 +81,7 @@
                 break;
             }
             self.attempt_id = id.or(self.attempt_id);
+            self.unnumbered |= id.is_none() && has_data(&event);
             let delivered = id.is_some_and(|id| self.last_id.is_some_and(|last_id| id <= last_id));
             if delivered {
                 continue;
@@ -114,6 +123,11 @@
     is_known && !text.contains(&0) && !lines().any(|line| line.starts_with(b"HTTP/1."))
 }
 
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/cumin-serve/tests/all/event_text.rs
+++ b/crates/cumin-serve/tests/all/event_text.rs
@@ -109,3 +109,48 @@
         assert_eq!(decoded(&got), event(1) + &event(2) + &event(3));
     });
 }
+
+/// A stream whose events have no identifiers must not be resumed: its events would come twice.
+#[test]
+fn without_identifiers() {
+    run(async {
+        let text = "data: a\n\ndata: b\n\n";
+        let broken = vec![stream_head(), chunk(text), Step::Wait(20), Step::Reset];
+        let whole = vec![stream_head(), chunk(text), last_chunk()];
+        let first = Endpoint::start(vec![broken]).await;
+        let second = Endpoint::start(vec![whole]).await;
+        let entry = Entry::start(&[], &[&first, &second]).await;
+        let mut cut = 0;
+        // The endpoint that is chosen first varies between requests.
+        for _ in 0..12 {
+            let got = entry.call("POST", "/resume/x", "", "prompt").await;
+            assert_eq!(decoded(&got), text, "{got:?}");
+            cut += u32::from(!is_terminated(&got));
+        }
+        assert!(cut > 0);
+    });
+}
+
+/// An event without an identifier after one that has it is forwarded, but a resumption would repeat
+/// it.
+#[test]
+fn missing_identifier() {
+    run(async {
+        let sent = event(1) + "data: a\n\n";
+        let broken = vec![stream_head(), chunk(&sent), Step::Wait(20), Step::Reset];
+        let rest = "data: a\n\n".to_owned() + &event(2);
+        let first = Endpoint::start(vec![broken]).await;
+        let second = Endpoint::start(vec![vec![stream_head(), chunk(&rest), last_chunk()]]).await;
+        let entry = Entry::start(&[], &[&first, &second]).await;
+        let mut cut = 0;
+        // The endpoint that is chosen first varies between requests.
+        for _ in 0..12 {
+            let before = first.count();
+            let got = entry.call("POST", "/resume/x", "", "prompt").await;
+            let expected = if first.count() > before { &sent } else { &rest };
+            assert_eq!(decoded(&got), *expected, "{got:?}");
+            cut += u32::from(!is_terminated(&got));
+        }
+        assert!(cut > 0);
+    });
+}
