Send nothing to an endpoint that has said in its answers that it leaves

An endpoint that leaves states `Server-Leaving: 1` in its answers. Entries ignored the header, so the endpoint got requests until the store showed that it drains: with a silent store, as long as its registration was kept.

Each answer head that arrives on a connection to an endpoint now counts, also of rejections, errors, misdirected, unsigned and stray answers. The endpoint is the last choice for the bound on draining, counted from the first statement by the entry's own clock, and then gets nothing: `Fleet` keeps the statement apart from the registrations, by name and start, so that no later view of the store takes it back. Idle connections to it are closed, and a request whose connection took until then is sent elsewhere. A registration that drained no longer becomes usable again by an older record of the same start.

The time that is left follows in the digests as a new last field, which an older build does not read, so that other entries spare the endpoint too. The plan of engines counts it as draining at once.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -9,6 +9,8 @@
 use cumin_types::{EndpointName, Millis, Place, Service};
 use serde::{Deserialize, Serialize};
 
+use crate::leaving::{Leaving, StatedLeaving};
+
 /// Time for endpoints to register again after an outage of the store: the users state about two
 /// seconds.
 pub const LAPSE_GRACE: Millis = Millis(2200);
@@ -35,6 +37,10 @@
     Millis(wanted.min(drain.0 / DRAIN_DIVISOR))
 }
 
+/// End of the time in which an endpoint may get requests, if its registration says that it drains:
+/// the bound counts from the record, which this node may have read late.
+const AT_ONCE: Millis = Millis(0);
+
 /// A registered endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -89,6 +95,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     registrations: BTreeMap<EndpointName, Registration>,
+    /// Endpoints that have stated that they leave, also while they are not registered.
+    leaving: Leaving,
     /// Time at which the store was last reached again after an outage.
     store_regained: Option<Millis>,
     /// Increases with each change of an endpoint or of the set.
@@ -118,8 +126,16 @@
     }
 
     /// Adds or updates a registration.
-    pub fn register(&mut self, endpoint: Endpoint) -> Change {
+    ///
+    /// An endpoint that has begun to drain does so until it starts again, even if a later record
+    /// says otherwise.
+    pub fn register(&mut self, mut endpoint: Endpoint) -> Change {
         let name = endpoint.name.clone();
+        if endpoint.draining {
+            let started_ms = endpoint.started_ms;
+            self.leaving.stated(&name, started_ms, AT_ONCE, AT_ONCE);
+        }
+        endpoint.draining |= self.leaving.until(&endpoint) == Some(AT_ONCE);
         let known = self.registrations.get(&name);
         let lapsed = known.is_some_and(|known| known.expires.is_some());
         let old = known.map(|known| &known.endpoint);
@@ -194,6 +210,9 @@
             self.registrations.remove(name);
             self.version += 1;
         }
+        let registrations = &self.registrations;
+        self.leaving
+            .trim(|name| registrations.contains_key(name), now);
         gone.into_iter().map(Change::Gone).collect()
     }
 
@@ -212,7 +231,73 @@
             .map(|registration| &registration.endpoint)
     }
 
-    /// Returns the endpoints of a service that accept new work at `now`.
+    /// Records that an endpoint states that it leaves, and may get requests until `until`.
+    ///
+    /// Returns whether this is the first statement of that incarnation or shortens the time.
+    pub fn leaving_stated(
+        &mut self,
+        name: &EndpointName,
+        started_ms: u64,
+        until: Millis,
+        now: Millis,
+    ) -> bool {
+        let changed = self.leaving.stated(name, started_ms, until, now);
+        self.version += u64::from(changed);
+        changed
+    }
+
+    /// Records a statement that can't be read; returns whether it is the endpoint's first one.
+    pub fn leaving_unreadable(&mut self, name: &EndpointName) -> bool {
+        self.leaving.unreadable(name)
+    }
+
+    /// Returns whether an endpoint drains or has stated that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        endpoint.draining || self.leaving.until(endpoint).is_some()
+    }
+
+    /// Returns whether an endpoint is registered and may get a request at `now`.
+    #[must_use]
+    pub fn accepts(&self, name: &EndpointName, now: Millis) -> bool {
+        self.get(name)
+            .is_some_and(|known| self.may_get_request(known, now))
+    }
+
+    fn may_get_request(&self, endpoint: &Endpoint, now: Millis) -> bool {
+        let until = self.leaving.until(endpoint);
+        !endpoint.draining && until.is_none_or(|until| now < until)
+    }
+
+    /// Returns what this node states to its peers of registered endpoints that leave.
+    #[must_use]
+    pub fn stated_leaving(&self, now: Millis) -> Vec<StatedLeaving> {
+        let stated = self.all().filter(|endpoint| !endpoint.draining);
+        let stated = stated.filter_map(|endpoint| {
+            let until = self.leaving.until(endpoint)?;
+            Some(StatedLeaving {
+                endpoint: endpoint.name.clone(),
+                started_ms: endpoint.started_ms,
+                left: Millis(until.since(now)),
+            })
+        });
+        stated.collect()
+    }
+
+    /// Returns the endpoints of a service for the planning of engines: each that leaves is marked as
+    /// draining, so that it is replaced at once.
+    #[must_use]
+    pub fn planned(&self, service: &Service) -> Vec<Endpoint> {
+        let matching = self.all().filter(|endpoint| endpoint.service == *service);
+        let marked = matching.map(|endpoint| Endpoint {
+            draining: self.is_leaving(endpoint),
+            ..endpoint.clone()
+        });
+        marked.collect()
+    }
+
+    /// Returns the endpoints of a service that accept new work at `now`, including those that leave
+    /// but may still get requests.
     ///
     /// A lapsed endpoint is left out as soon as it expires, even if it was not removed yet:
     /// [`remove_expired`](Self::remove_expired) runs only when the store is read.
@@ -225,7 +310,9 @@
             .values()
             .filter(move |registration| registration.expires.is_none_or(|at| now < at))
             .map(|registration| &registration.endpoint)
-            .filter(move |endpoint| endpoint.service == *service && !endpoint.draining)
+            .filter(move |endpoint| {
+                endpoint.service == *service && self.may_get_request(endpoint, now)
+            })
     }
 
     /// Returns a number that increases with each change.
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod learn;
+pub mod leaving;
 pub mod limits;
 pub mod outage;
 pub mod peer;
--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -215,6 +215,18 @@
     pub rate_limit: Option<f64>,
 }
 
+/// What the head of an answer states about the endpoint's leaving.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum AnswerLeaving {
+    /// The endpoint does not leave.
+    #[default]
+    No,
+    /// The endpoint leaves.
+    Leaves,
+    /// The statement can't be read; contains the beginning of its text.
+    Unreadable(String),
+}
+
 /// The headers and paths that callers and endpoints of the platform use.
 pub trait Dialect {
     /// Parses the head of a caller's request.
@@ -226,6 +238,9 @@
     /// Parses the head of an endpoint's answer.
     fn parse_answer(&self, head: &ResponseHead) -> AnswerHead;
 
+    /// Returns whether an answer, to whichever request, states that the endpoint leaves.
+    fn parse_leaving(&self, head: &ResponseHead) -> AnswerLeaving;
+
     /// Returns the headers of an endpoint's answer that are forwarded to the caller.
     fn forwarded_headers(&self, head: &ResponseHead) -> HeaderMap;
 
--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -330,7 +330,8 @@
 
     /// Chooses an endpoint of a service, leaving out those in `avoid`.
     ///
-    /// Endpoints in their cooldown are left out unless all are.
+    /// Endpoints in their cooldown are left out unless all are. Those that leave are considered only
+    /// if no other one can be used.
     pub fn choose(
         &mut self,
         fleet: &Fleet,
@@ -346,10 +347,24 @@
         let all_cooling = candidates
             .iter()
             .all(|endpoint| self.cooling_down(&endpoint.name, now));
-        let mut open: Vec<&Endpoint> = candidates
+        let open = candidates
             .into_iter()
-            .filter(|endpoint| all_cooling || !self.cooling_down(&endpoint.name, now))
-            .collect();
+            .filter(|endpoint| all_cooling || !self.cooling_down(&endpoint.name, now));
+        let (leaving, staying): (Vec<_>, Vec<_>) =
+            open.partition(|endpoint| fleet.is_leaving(endpoint));
+        let choice = self.choose_among(staying, need, now);
+        if matches!(choice, Choice::Use { .. }) || leaving.is_empty() {
+            return choice;
+        }
+        let last = self.choose_among(leaving, need, now);
+        let is_full = matches!(choice, Choice::Full { .. });
+        if is_full && !matches!(last, Choice::Use { .. }) {
+            return choice;
+        }
+        last
+    }
+
+    fn choose_among(&mut self, mut open: Vec<&Endpoint>, need: &Need, now: Millis) -> Choice {
         self.sample(&mut open, need);
         if !need.engine && self.nodes >= MIN_RANDOM_NODES {
             self.keep_random(&mut open, now);
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod duty;
 mod fleet;
 mod learn;
+mod leaving;
 mod limits;
 mod outage;
 mod quota;
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::connection::{Answer, AnswerError, Connection, Outbound};
 use crate::crash;
 use crate::events::EventSplitter;
+use crate::leaving;
 use crate::limit;
 use crate::node::Node;
 use crate::request::{ActiveRequest, seconds};
@@ -111,6 +112,10 @@
             }
         };
         let now = node.now();
+        if !node.fleet.borrow().accepts(&endpoint.name, now) {
+            // It left while the connection was opened.
+            return Ok(AttemptEnd::NotSent);
+        }
         let memory_tokens = self.memory_tokens();
         let id = node.selector.borrow_mut().attempt_sent(
             endpoint,
@@ -160,7 +165,12 @@
             }
             own
         };
-        let exchange = connection.exchange(&node.http_config, outbound, is_own);
+        let id = self.id();
+        let heard = |head: &ResponseHead| {
+            leaving::answer_heard(node, endpoint, head, id);
+            is_own(head)
+        };
+        let exchange = connection.exchange(&node.http_config, outbound, heard);
         let timeout = self.answer_timeout(need, estimate_ms);
         let answer = match timeout {
             Some(limit) => {
@@ -524,8 +534,11 @@
         if trailing > 0 {
             log_trailing(self.request.id.as_deref(), endpoint, trailing);
         }
-        if let Some(mut connection) = answer.into_connection() {
-            connection.idle = (self.node.now(), answer_head.keep_alive);
+        let now = self.node.now();
+        if let Some(mut connection) = answer.into_connection()
+            && self.node.fleet.borrow().accepts(endpoint, now)
+        {
+            connection.idle = (now, answer_head.keep_alive);
             connection.answered.clone_from(&self.request.id);
             let mut idle_connections = self.node.idle_connections.borrow_mut();
             idle_connections
--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -42,7 +42,10 @@
     suspicion: &Suspicion,
 ) {
     let fleet = node.fleet.borrow();
-    if fleet.get(endpoint).is_some_and(|known| known.draining) {
+    if fleet
+        .get(endpoint)
+        .is_some_and(|known| fleet.is_leaving(known))
+    {
         return;
     }
     let mut suspects = node.suspects.borrow_mut();
@@ -117,7 +120,7 @@
         suspects.ran(suspicion, now);
     }
     drop(suspects);
-    if node.fleet.borrow().get(endpoint).is_none() {
+    if !node.fleet.borrow().accepts(endpoint, now) {
         return;
     }
     connection.idle = (now, None);
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -270,11 +270,7 @@
         let (Some(limits), Some(cloud)) = (&spec.scale, &node.platform.cloud) else {
             return;
         };
-        let endpoints: Vec<Endpoint> = {
-            let fleet = node.fleet.borrow();
-            let matching = fleet.all().filter(|e| e.service == spec.name);
-            matching.cloned().collect()
-        };
+        let endpoints = node.fleet.borrow().planned(&spec.name);
         let endpoints: Vec<&Endpoint> = endpoints.iter().collect();
         let demand = total_demand(&node, &spec.name, now);
         let model = node.selector.borrow().model(&spec.name).clone();
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -12,6 +12,7 @@
 use cumin_entry::relay::{RelayedPage, RelayedRecord, self_read_age};
 use cumin_types::{LogOffset, Millis, NodeName};
 
+use crate::leaving;
 use crate::metrics::StoreCallLabels;
 use crate::node::{Freshness, Node};
 use crate::relay;
@@ -331,11 +332,13 @@
         changes.extend(fleet.apply_listing(listed, now));
     }
     changes.extend(fleet.remove_expired(now));
+    let mut draining = Vec::new();
     for change in &changes {
         log_change(change);
         match change {
             Change::New(name) => crate::crash::endpoint_restarted(node, name),
             Change::Gone(name) => crate::crash::endpoint_lost(node, name),
+            Change::Draining(name) => draining.push(name.clone()),
             _ => {}
         }
     }
@@ -346,6 +349,10 @@
             .borrow_mut()
             .retain(|name, _| fleet.get(name).is_some());
     }
+    drop(fleet);
+    for name in draining {
+        leaving::close_idle(node, &name);
+    }
     relayed
 }
 
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use cumin_entry::leaving::StatedLeaving;
 use cumin_entry::limits::StatedLimit;
 use cumin_entry::outage::StatedSpan;
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
@@ -21,6 +22,7 @@
 
 use crate::crash;
 use crate::feed;
+use crate::leaving;
 use crate::limit;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
@@ -78,6 +80,7 @@
             parts: stated.parts,
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
+            leaving: node.fleet.borrow().stated_leaving(node.now()),
         };
         let payload = match message.encode() {
             Ok(payload) => payload,
@@ -106,6 +109,7 @@
     parts: Vec<StatedPart>,
     limits: Vec<StatedLimit>,
     reads: Option<StatedSpan>,
+    leaving: Vec<StatedLeaving>,
 }
 
 impl Message {
@@ -114,7 +118,8 @@
         let payload = postcard::to_extend(&self.extension, payload)?;
         let payload = postcard::to_extend(&self.parts, payload)?;
         let payload = postcard::to_extend(&self.limits, payload)?;
-        postcard::to_extend(&self.reads, payload)
+        let payload = postcard::to_extend(&self.reads, payload)?;
+        postcard::to_extend(&self.leaving, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -123,13 +128,15 @@
         let (extension, rest) = take_or_default(rest)?;
         let (parts, rest) = take_or_default(rest)?;
         let (limits, rest) = take_or_default(rest)?;
-        let (reads, _) = take_or_default(rest)?;
+        let (reads, rest) = take_or_default(rest)?;
+        let (leaving, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
             parts,
             limits,
             reads,
+            leaving,
         })
     }
 }
@@ -278,6 +285,7 @@
         parts,
         limits,
         reads,
+        leaving: stated_leaving,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -316,6 +324,7 @@
         .borrow_mut()
         .merge_peer(&digest.node, digest.incarnation, &digest.taken, now);
     limit::merge_peer(node, digest, limits);
+    leaving::merge_peer(node, &digest.node, stated_leaving);
     let max_memory = node.table().map_or(0, |table| {
         let services = table.document().services.iter();
         let memories = services.filter_map(|spec| Some(spec.engine.as_ref()?.memory_tokens));
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod feed;
 mod gossip;
+mod leaving;
 mod limit;
 mod metrics;
 mod node;
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -346,8 +346,12 @@
                 (bounded(blocked.wait), "endpoint_limit", detail)
             }
             _ => {
-                let known = self.node.fleet.borrow().usable(self.service, now).count();
-                let detail = format!("known={known}");
+                let fleet = self.node.fleet.borrow();
+                let known = fleet.usable(self.service, now).count();
+                let leaving = fleet.all().filter(|endpoint| {
+                    endpoint.service == *self.service && fleet.is_leaving(endpoint)
+                });
+                let detail = format!("known={known} leaving={}", leaving.count());
                 (bounded(DEFAULT_RETRY_AFTER), "no_endpoint", detail)
             }
         }
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod endpoint_limit;
 mod event_text;
 mod keys;
+mod leaving;
 mod log_lines;
 mod requests;
 mod silent_store;
