Obey the time for which an endpoint that answers 503 wants nothing

An endpoint that turns a request away may add `Retry-After`. Entries ignored it and sent the next requests at once.

`RateLimits` now keeps the wait of an endpoint beside its limit, so that one place tells which endpoints may get a request, and when the others may. The time counts from the arrival of the 503, in seconds or as a date; later ones extend it and never shorten it; a restart of the endpoint ends it. Requests go to other endpoints. If all of a service want nothing, the caller is refused with the soonest end and up to half a second more, by a hash of the request. At the end two requests try first, and the rest follows when one is answered.

--- a/crates/cumin-entry/src/limits.rs
+++ b/crates/cumin-entry/src/limits.rs
@@ -1,4 +1,8 @@
-//! Request rates that endpoints state as the most they take from all nodes together.
+//! Request rates that endpoints state as the most they take from all nodes together, and times for
+//! which they want nothing from this node.
+//!
+//! [`RateLimits::blocked`] answers for both which endpoints may get a request now, and when the
+//! others may.
 //!
 //! Every node states in its digests what it heard from endpoints, the requests that it sent to
 //! those with a limit, and the requests that it wanted to send. Each rule handles a load pattern:
@@ -13,6 +17,8 @@
 //!   shares start at different levels, so that they do not become due together.
 //! * An endpoint whose limit is close to zero: it still gets a request now and then, since only its
 //!   answers tell that the limit has ended.
+//! * Many requests that wait for the time of an endpoint that wanted nothing: [`TRIALS`] of them try
+//!   first, and the rest follows when one is answered.
 
 use std::collections::BTreeMap;
 
@@ -42,6 +48,17 @@
 /// Age at which a statement no longer counts, and time for which the end of a limit is stated.
 const STATEMENT_TTL: Millis = Millis(10_000);
 
+/// Requests that an endpoint which wanted nothing gets until one of them is answered. The users allow
+/// two to arrive early.
+const TRIALS: u32 = 2;
+
+/// Time after which as many more may be sent if none was answered.
+const TRIAL_TIME: Millis = Millis(500);
+
+/// Time for which what an endpoint without a registration wanted is kept. An outage of the store
+/// hides live endpoints for minutes.
+const WAIT_KEEP_TIME: Millis = Millis(600_000);
+
 /// What a node states of an endpoint with a limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -80,6 +97,8 @@
     pub endpoints: Vec<EndpointName>,
     /// Time until the first of them may get one.
     pub wait: Millis,
+    /// How many of them want nothing for a time.
+    pub waiting: usize,
 }
 
 /// A limit that was stated or has ended.
@@ -112,6 +131,36 @@
     }
 }
 
+/// Time for which an endpoint wants nothing from this node.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    until: Millis,
+    /// Time of the answer that stated it.
+    heard: Millis,
+    /// Requests sent since its end, and the time of the last one.
+    trials: (u32, Millis),
+}
+
+impl Wait {
+    /// Returns the time until a request may be sent; zero if it may now.
+    fn left(&self, now: Millis) -> Millis {
+        let (sent, last) = self.trials;
+        if now >= self.until && sent < TRIALS {
+            return Millis(0);
+        }
+        Millis(self.until.max(last.plus(TRIAL_TIME.0)).since(now))
+    }
+
+    /// Counts a request.
+    fn take(&mut self, now: Millis) {
+        let (sent, last) = self.trials;
+        let is_due = now.since(last) >= TRIAL_TIME.0;
+        if now >= self.until {
+            self.trials = (if is_due { 1 } else { sent + 1 }, now);
+        }
+    }
+}
+
 /// Last statement of a peer on an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct PeerUse {
@@ -133,6 +182,8 @@
     own: Option<(Option<f64>, Millis)>,
     /// Requests that this node sent to the endpoint while it had a limit.
     sent: u64,
+    /// Time for which it wants nothing, until a later request is answered.
+    pause: Option<Wait>,
     /// Requests that this node wanted to send.
     wanted: MeanRate,
     peers: BTreeMap<NodeName, PeerUse>,
@@ -161,6 +212,7 @@
             heard: Millis(0),
             own: None,
             sent: 0,
+            pause: None,
             wanted: MeanRate::default(),
             peers: BTreeMap::new(),
             level: 0.0,
@@ -295,6 +347,61 @@
         self.set_rate(endpoint, rate, now, now)
     }
 
+    /// Records that an endpoint wants nothing from this node until `until`.
+    ///
+    /// Returns whether that is later than was known.
+    pub fn wait_stated(
+        &mut self,
+        endpoint: &EndpointName,
+        started_ms: u64,
+        until: Millis,
+        now: Millis,
+    ) -> bool {
+        let Some(account) = self.account(endpoint, started_ms, now) else {
+            return false;
+        };
+        if account.pause.is_some_and(|known| known.until >= until) {
+            return false;
+        }
+        account.pause = Some(Wait {
+            until,
+            heard: now,
+            trials: (0, Millis(0)),
+        });
+        true
+    }
+
+    /// Records an answer that asks for no wait, to a request sent at `sent`.
+    ///
+    /// A wait is over when a request that was sent after its end is answered. Answers to earlier
+    /// ones, which were on their way, say nothing.
+    pub fn wait_ended(&mut self, endpoint: &EndpointName, started_ms: u64, sent: Millis) {
+        if let Some(account) = self.accounts.get_mut(endpoint)
+            && account.started_ms == started_ms
+        {
+            account.pause = account.pause.filter(|known| sent < known.until);
+        }
+    }
+
+    /// Returns the time until one of the endpoints may get a request, if all of them want nothing.
+    pub fn all_waiting<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+        now: Millis,
+    ) -> Option<Millis> {
+        let mut soonest = None;
+        for endpoint in endpoints {
+            let account = self.accounts.get(&endpoint.name);
+            let account = account.filter(|known| known.started_ms == endpoint.started_ms)?;
+            let left = account.pause?.left(now);
+            if left == Millis(0) {
+                return None;
+            }
+            soonest = Some(soonest.map_or(left, |known: Millis| known.min(left)));
+        }
+        soonest
+    }
+
     /// Merges what a peer states. Merging twice or late is harmless. Returns what changed.
     pub fn merge_peer(
         &mut self,
@@ -394,12 +501,13 @@
             else {
                 continue;
             };
-            if account.rate.is_none() {
-                continue;
+            let pause = account.pause.map_or(Millis(0), |pause| pause.left(now));
+            if account.rate.is_some() {
+                account.refill(&self.sharing, now);
+                account.wanted.add(now);
             }
-            account.refill(&self.sharing, now);
-            account.wanted.add(now);
-            let wait = account.wait(&self.sharing, now);
+            let wait = account.wait(&self.sharing, now).max(pause);
+            blocked.waiting += usize::from(pause > Millis(0));
             if wait > Millis(0) {
                 let first = blocked.endpoints.is_empty();
                 blocked.wait = if first { wait } else { blocked.wait.min(wait) };
@@ -429,9 +537,13 @@
 
     /// Counts a request that is about to be sent.
     pub fn request_sent(&mut self, endpoint: &EndpointName, now: Millis) {
-        if let Some(account) = self.accounts.get_mut(endpoint)
-            && account.rate.is_some()
-        {
+        let Some(account) = self.accounts.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(pause) = &mut account.pause {
+            pause.take(now);
+        }
+        if account.rate.is_some() {
             account.take(&self.sharing, now);
         }
     }
@@ -462,11 +574,22 @@
         limited.count()
     }
 
+    /// Returns the number of endpoints that want nothing from this node.
+    #[must_use]
+    pub fn waiting(&self, now: Millis) -> usize {
+        let paused = |account: &&Account| account.pause.is_some_and(|p| p.left(now) > Millis(0));
+        self.accounts.values().filter(paused).count()
+    }
+
     /// Removes endpoints that are not registered or whose limits have ended, once peers know that.
     pub fn trim(&mut self, fleet: &Fleet, now: Millis) {
         self.accounts.retain(|name, account| {
-            let kept = account.rate.is_some() && fleet.get(name).is_some();
-            kept || now.since(account.heard) < 2 * STATEMENT_TTL.0
+            let registered = fleet.get(name).is_some();
+            let pause = account.pause.filter(|pause| {
+                now < pause.until && (registered || now.since(pause.heard) < WAIT_KEEP_TIME.0)
+            });
+            let kept = account.rate.is_some() && registered;
+            kept || pause.is_some() || now.since(account.heard) < 2 * STATEMENT_TTL.0
         });
     }
 }
--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -227,6 +227,20 @@
     Unreadable(String),
 }
 
+/// The time for which the endpoint of an answer wants no further request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum AnswerWait {
+    /// The answer states none.
+    #[default]
+    None,
+    /// A time from the arrival of the answer; the maximum if it is longer than can be stated.
+    For(Millis),
+    /// A time of day.
+    Until(WallMillis),
+    /// The statement is no time, or not above zero; contains the beginning of its text.
+    Unreadable(String),
+}
+
 /// The headers and paths that callers and endpoints of the platform use.
 pub trait Dialect {
     /// Parses the head of a caller's request.
@@ -241,6 +255,9 @@
     /// Returns whether an answer, to whichever request, states that the endpoint leaves.
     fn parse_leaving(&self, head: &ResponseHead) -> AnswerLeaving;
 
+    /// Returns the time for which an answer, to whichever request, wants no further request.
+    fn parse_wait(&self, head: &ResponseHead) -> AnswerWait;
+
     /// Returns the headers of an endpoint's answer that are forwarded to the caller.
     fn forwarded_headers(&self, head: &ResponseHead) -> HeaderMap;
 
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod outage;
 mod quota;
 mod relay;
+mod retry_after;
 mod scale;
 mod selection;
 mod stop;
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -168,7 +168,9 @@
         let id = self.id();
         let heard = |head: &ResponseHead| {
             leaving::answer_heard(node, endpoint, head, id);
-            is_own(head)
+            let is_own = is_own(head);
+            limit::wait_heard(node, endpoint, head, (id, now), is_own);
+            is_own
         };
         let exchange = connection.exchange(&node.http_config, outbound, heard);
         let timeout = self.answer_timeout(need, estimate_ms);
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -426,4 +426,6 @@
     let quarantined = suspects.quarantined().len();
     metrics.quarantined.set(number(quarantined));
     metrics.limited.set(number(node.limits.borrow().count()));
+    let waiting = node.limits.borrow().waiting(now);
+    metrics.waiting.set(number(waiting));
 }
--- a/crates/cumin-serve/src/limit.rs
+++ b/crates/cumin-serve/src/limit.rs
@@ -1,7 +1,12 @@
-//! Records the request rates that endpoints state as their limits, and logs what changed.
+//! Records the request rates that endpoints state as their limits and the times for which they want
+//! nothing, and logs what changed.
 
+use actix_http::ResponseHead;
+use cumin_entry::fleet::Endpoint;
 use cumin_entry::limits::{AnswerLimit, LimitChange, StatedLimit};
 use cumin_entry::peer::Digest;
+use cumin_entry::platform::AnswerWait;
+use cumin_types::Millis;
 
 use crate::node::Node;
 
@@ -13,6 +18,44 @@
     }
 }
 
+/// Records for how long the endpoint of an answer wants nothing.
+///
+/// The request `id` was sent to it at `sent`. The answer may be one to another request; only one to
+/// that request (`is_own`) ends a wait.
+pub(crate) fn wait_heard(
+    node: &Node,
+    endpoint: &Endpoint,
+    head: &ResponseHead,
+    (id, sent): (&str, Millis),
+    is_own: bool,
+) {
+    let (name, started_ms, now) = (&endpoint.name, endpoint.started_ms, node.now());
+    let wait = match node.platform.dialect.parse_wait(head) {
+        AnswerWait::None => {
+            if is_own {
+                let mut limits = node.limits.borrow_mut();
+                limits.wait_ended(name, started_ms, sent);
+            }
+            return;
+        }
+        AnswerWait::For(wait) => wait,
+        AnswerWait::Until(end) => Millis(end.since(node.wall())),
+        AnswerWait::Unreadable(value) => {
+            log::warn!("event=wait_ignored endpoint={name} answer={id} value={value:?}");
+            return;
+        }
+    };
+    if wait == Millis(0) {
+        log::warn!("event=wait_ignored endpoint={name} answer={id} value=past");
+        return;
+    }
+    let until = now.plus(wait.0);
+    let mut limits = node.limits.borrow_mut();
+    if limits.wait_stated(name, started_ms, until, now) {
+        log::info!("event=endpoint_wait endpoint={name} wait_ms={wait} answer={id}");
+    }
+}
+
 /// Merges the limits that follow a peer's digest.
 pub(crate) fn merge_peer(node: &Node, digest: &Digest, stated: &[StatedLimit]) {
     let (name, now) = (&digest.node, node.now());
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -56,6 +56,7 @@
     pub(crate) suspects: Gauge,
     pub(crate) quarantined: Gauge,
     pub(crate) limited: Gauge,
+    pub(crate) waiting: Gauge,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -83,6 +84,7 @@
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             limited: Gauge::default(),
+            waiting: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -150,6 +152,11 @@
             "Endpoints that state a request rate as their limit",
             m.limited.clone(),
         );
+        registry.register(
+            "waiting_endpoints",
+            "Endpoints that want no request from this entry for a time",
+            m.waiting.clone(),
+        );
         Self {
             registry,
             ..metrics
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -13,7 +13,7 @@
 use cumin_entry::platform::CallerRequest;
 use cumin_entry::selection::{Choice, Need};
 use cumin_entry::suspects::Suspicion;
-use cumin_types::{EndpointName, Millis, Service};
+use cumin_types::{EndpointName, Millis, Service, score};
 
 use crate::admit::{
     CRASHES_ENDPOINTS, DEFAULT_RETRY_AFTER, DEFAULT_TIMEOUT, MIN_RETRY_AFTER, Refusal, admit,
@@ -29,6 +29,9 @@
 /// Number of failed connections after which a request gives up.
 const MAX_FAILED_CONNECTIONS: usize = 4;
 
+/// Time over which callers return that were told of the end of an endpoint's wait.
+const RETURN_SPREAD: Millis = Millis(500);
+
 /// Time after which a refused request may be retried, reason and detail of the refusal.
 type NoAttempt = (Millis, &'static str, String);
 
@@ -179,7 +182,9 @@
                 // After a failed attempt a late answer is better than none.
                 need.goal_left = need.goal_left.max(Millis(need.time_left.0 / 2));
             }
-            let choice = self.choose(&need, is_retry, now);
+            let choice = self
+                .choose(&need, is_retry, now)
+                .map_err(|refusal| self.refuse_waiting(refusal, now));
             let (endpoint, estimate_ms) = match choice {
                 Ok(chosen) => chosen,
                 Err((retry_after, reason, detail)) => {
@@ -305,9 +310,10 @@
         }
         log::debug!(
             "event=placed id={} endpoint={endpoint} estimate_ms={estimate_ms:.0} cached={cached} \
-             blocked={}",
+             blocked={} waiting={}",
             self.id(),
-            blocked.endpoints.len()
+            blocked.endpoints.len(),
+            blocked.waiting
         );
         limits.request_sent(&endpoint, now);
         let chosen = fleet.get(&endpoint).cloned();
@@ -317,6 +323,27 @@
             .ok_or(refused)
     }
 
+    /// Replaces a refusal by one with the soonest end of a wait, if all endpoints want nothing.
+    fn refuse_waiting(&self, refusal: NoAttempt, now: Millis) -> NoAttempt {
+        let (_, reason, _) = &refusal;
+        if *reason == CRASHES_ENDPOINTS {
+            return refusal;
+        }
+        let fleet = self.node.fleet.borrow();
+        let usable = fleet.usable(self.service, now);
+        let Some(wait) = self.node.limits.borrow().all_waiting(usable, now) else {
+            return refusal;
+        };
+        let spread = score(self.id().as_bytes(), "return") % RETURN_SPREAD.0;
+        let known = fleet.usable(self.service, now).count();
+        let detail = format!("waiting={known} wait_ms={wait}");
+        (
+            wait.plus(spread).max(MIN_RETRY_AFTER),
+            "endpoint_wait",
+            detail,
+        )
+    }
+
     /// Returns why no endpoint was chosen, and counts the request as demand for engines.
     fn refuse_choice(
         &self,
@@ -342,7 +369,8 @@
                 (bounded(*retry_after), "full", detail)
             }
             _ if is_blocked => {
-                let detail = format!("blocked={}", blocked.endpoints.len());
+                let count = blocked.endpoints.len();
+                let detail = format!("blocked={count} waiting={}", blocked.waiting);
                 (bounded(blocked.wait), "endpoint_limit", detail)
             }
             _ => {
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod log_lines;
 mod requests;
+mod retry_after;
 mod silent_store;
 mod sink;
 mod streams;
