Do not take a reset while a request is sent for the end of its answer

Cause: an answer without a length ends with its connection. A reset that arrives while a part of the request is still to be sent fails the write, which consumes the error of the socket; the read that follows sees a regular end, so the answer passed for a complete one.

After a failed write the end of the connection no longer ends such an answer. unframed::reset_while_sending failed before (200 with 'half') and passes.

--- a/crates/cumin-serve/src/connection.rs
+++ b/crates/cumin-serve/src/connection.rs
@@ -56,6 +56,8 @@
     output: BytesMut,
     /// Whether the connection must not be reused for another request.
     unusable: bool,
+    /// Whether a write failed. Later reads do not report a reset again, but a regular end.
+    write_failed: bool,
     /// Number of requests sent on it.
     pub(crate) requests: u32,
     /// Time since which it is idle, and the time that the endpoint keeps it open.
@@ -102,6 +104,7 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             unusable: false,
+            write_failed: false,
             requests: 0,
             idle: (Millis(0), None),
             answered: None,
@@ -215,6 +218,7 @@
                         // The endpoint may have answered and closed before it read a long body.
                         self.output.clear();
                         self.unusable = true;
+                        self.write_failed = true;
                     },
                     read = reader.read_buf(&mut self.input) => break read,
                 }
@@ -271,7 +275,8 @@
                 Ok(length) => framing_bytes += length,
                 Err(AnswerError::Closed(error))
                     if error.kind() == io::ErrorKind::UnexpectedEof
-                        && matches!(self.body, Body::UntilClose) =>
+                        && matches!(self.body, Body::UntilClose)
+                        && !self.connection.write_failed =>
                 {
                     self.body = Body::None;
                     self.connection.unusable = true;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -455,6 +455,11 @@
 
     /// Publishes a document with `keys` as the valid keys.
     pub fn publish(&self, keys: &[&str]) {
+        self.publish_limited(keys, 100_000);
+    }
+
+    /// Publishes a document with `keys` as the valid keys, and a maximum size of bodies.
+    pub fn publish_limited(&self, keys: &[&str], body_bytes: usize) {
         self.version.set(self.version.get() + 3);
         let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resume: bool| {
             json!({
@@ -487,7 +492,7 @@
                 {"name": "engine", "health_path": "/health", "max_connections": 100, "engine":
                     {"slots": 64, "kv_tokens": 300_000, "stride": 4}},
             ],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": body_bytes,
                 "header_timeout_ms": 500, "idle_timeout_ms": 5000},
             "tenants": [{"name": "org", "api_keys": keys, "unit": "tokens", "plain_tokens": 1,
                 "rate_per_s": 0, "burst": 0}],
--- a/crates/cumin-serve/tests/all/unframed.rs
+++ b/crates/cumin-serve/tests/all/unframed.rs
@@ -1,5 +1,11 @@
 //! Answers with neither a length nor chunks, which end with their connection.
 
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
 use crate::support::{Endpoint, Entry, Step, body, run};
 
 /// Head of an answer without a length.
@@ -115,6 +121,43 @@
     });
 }
 
+/// Answers the first bytes of a request with half a body, and resets the connection.
+async fn reset_after_half(mut stream: TcpStream) {
+    let mut part = vec![0; 300];
+    if stream.read(&mut part).await.unwrap_or(0) == 0 {
+        return;
+    }
+    let half = "HTTP/1.1 200 OK\r\nX-Attempt-Id: abc123\r\nX-Response-Seal: s\r\n\r\nhalf";
+    let _ = stream.write_all(half.as_bytes()).await;
+    sleep(Duration::from_millis(50)).await;
+    let _ = stream.set_zero_linger();
+}
+
+/// A reset that fails the sending of a long request is reported to the write, after which a read
+/// sees a regular end; the answer that it cut off passed for a complete one.
+#[test]
+fn reset_while_sending() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let entry = Entry::start(&[], &[]).await;
+        entry.register("plain-1", "plain", listener.local_addr().unwrap());
+        // More than the sockets buffer, so that a part is still to be sent when the reset arrives.
+        let long = "b".repeat(9_000_000);
+        entry.publish_limited(&["key"], long.len());
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(reset_after_half(stream));
+            }
+        });
+        sleep(Duration::from_millis(200)).await;
+        for _ in 0..5 {
+            let got = entry.call("POST", "/unsafe/x", "", &long).await;
+            assert!(got.starts_with("HTTP/1.1 502"), "{got}");
+            assert!(!body(&got).contains("half"), "{got}");
+        }
+    });
+}
+
 /// The connection of such an answer is never used again.
 #[test]
 fn not_reused() {
