Truncate a stream that is resumed with another status

A success joined the begun answer whatever its status. A resumption must now have the status with which the stream began. streams::resumption_ends failed before for 204 and passes; it now counts only requests that reached the second endpoint.

The time of the first event is recorded once, not again at a resumption.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -372,9 +372,11 @@
         node.selector
             .borrow_mut()
             .stream_begun(self.service, &flight.endpoint, flight.id, now);
-        let first_ms = now.since(self.inbound.received_at);
-        self.first_ms.set(Some(first_ms));
-        node.metrics.first_seconds.observe(seconds(first_ms));
+        if self.first_ms.get().is_none() {
+            let first_ms = now.since(self.inbound.received_at);
+            self.first_ms.set(Some(first_ms));
+            node.metrics.first_seconds.observe(seconds(first_ms));
+        }
         if let Some(org) = self.org {
             count_usage(node, &org.name);
         }
@@ -415,6 +417,13 @@
         reply: &mut Reply<'_, '_>,
     ) -> io::Result<AttemptEnd> {
         let node = self.node;
+        if reply
+            .status()
+            .is_some_and(|begun| begun != answer.head.status)
+        {
+            let error = AnswerError::Malformed("another status than the stream began with".into());
+            return Ok(self.stream_broke(&error, flight, events, reply));
+        }
         let mut is_first = true;
         events.discard_partial();
         let limit = self.stall_limit();
--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -153,6 +153,11 @@
             .encode(Message::Item((response, size)), &mut self.output)
     }
 
+    /// Returns the status of an answer that has begun.
+    pub(crate) const fn status(&self) -> Option<StatusCode> {
+        self.status
+    }
+
     /// Returns whether the caller can have the beginning of an answer.
     pub(crate) fn has_begun(&self) -> bool {
         self.progress != Progress::Unanswered
--- a/crates/cumin-serve/tests/all/streams.rs
+++ b/crates/cumin-serve/tests/all/streams.rs
@@ -144,6 +144,11 @@
                 vec![head("200 X"), tail("X-Response-Seal: s"), Step::Close],
             ),
             ("redirect", vec![head("302 X"), tail(sealed)]),
+            (
+                "no content",
+                vec![head("204 X"), tail("X-Response-Seal: s")],
+            ),
+            ("reset content", vec![head("205 X"), tail(sealed)]),
             ("unmodified", vec![head("304 X"), tail(sealed)]),
             ("full", unrun("503 X")),
             ("too many", unrun("429 X")),
@@ -177,12 +182,12 @@
             let mut resumed = 0;
             // The endpoint that is chosen first varies between requests.
             for _ in 0..12 {
-                let before = first.count();
+                let before = (first.count(), second.count());
                 let got = entry.call("POST", "/resume/x", "", "prompt").await;
-                if first.count() == before || !got.starts_with("HTTP/1.1 200") {
+                if first.count() == before.0 || !got.starts_with("HTTP/1.1 200") {
                     continue;
                 }
-                resumed += 1;
+                resumed += second.count() - before.1;
                 let text = event(1);
                 let expected = format!("{:X}\r\n{text}\r\n", text.len());
                 assert_eq!(body(&got), expected, "{name}");
