Test that input in pieces is read like input in one piece

Each answer is also read as a caller does, so that a body that contradicts its framing fails the test.

--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod retry_after;
 mod silent_store;
 mod sink;
+mod split_input;
 mod streams;
 mod support;
 mod unframed;
