Reset streams to HTTP/1.0 callers whenever they end early; log answers that can't be written

A stream to an HTTP/1.0 caller ends with its connection, and the reset that shows a truncation was set up only after the request had been served. A process that ended meanwhile closed the connection in the regular way, and the stream looked whole. The linger time is now zero from the head of the answer until it is complete.

A request whose answer could not be written left no event=request line; it has outcome=unwritten.

--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -17,6 +17,7 @@
 use cumin_types::Millis;
 use derive_more::Display;
 use futures_util::future::{Either, select};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -102,8 +103,8 @@
     status: Option<StatusCode>,
     /// Bytes that were handed to the connection, framing included.
     bytes: usize,
-    /// Whether the caller speaks HTTP/1.0, which has no chunks.
-    http_10: bool,
+    /// Version of HTTP that the caller speaks; 1.0 has no chunks.
+    version: Version,
     /// Whether the answer that was begun ends with the connection.
     until_close: bool,
 }
@@ -140,7 +141,12 @@
         };
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
-        self.until_close = self.http_10 && size == BodySize::Stream;
+        self.until_close = self.version == Version::HTTP_10 && size == BodySize::Stream;
+        if self.until_close {
+            // Where the close ends the answer, only a reset shows that it is truncated, also if the
+            // process ends.
+            SockRef::from(self.writer.as_ref()).set_linger(Some(Duration::ZERO))?;
+        }
         response.head_mut().no_chunking(self.until_close);
         if self.closing || self.until_close {
             response
@@ -202,6 +208,9 @@
 
     async fn complete(&mut self) -> io::Result<ReplyEnd> {
         self.flush().await?;
+        if self.until_close {
+            SockRef::from(self.writer.as_ref()).set_linger(None)?;
+        }
         self.progress = Progress::Complete;
         Ok(ReplyEnd { complete: true })
     }
@@ -292,21 +301,16 @@
         };
         let closing = node.stopping() || !codec.keep_alive();
         let mut reply = Reply::new(&mut writer, &mut codec, closing, exchange);
-        reply.http_10 = inbound.head.version == Version::HTTP_10;
+        reply.version = inbound.head.version;
         let end = {
             let served = pin!(serve_request(node, &inbound, &mut reply, role));
             let disconnected = pin!(read_ahead(&mut reader, &mut input));
             match select(served, disconnected).await {
-                Either::Left((end, _)) => Some(end),
+                Either::Left((end, _)) => Some(end?),
                 Either::Right(((), _)) => None,
             }
         };
-        let complete = matches!(&end, Some(Ok(end)) if end.is_complete());
-        if reply.until_close && !complete {
-            // Where the close ends the answer, only a reset shows that it is truncated.
-            reply.writer.as_ref().set_zero_linger()?;
-        }
-        let Some(end) = end.transpose()? else {
+        let Some(end) = end else {
             let request = node.platform.dialect.parse_request(&inbound.head);
             log::info!(
                 "event=caller_left id={} {}",
@@ -340,7 +344,7 @@
             exchange,
             status: None,
             bytes: 0,
-            http_10: false,
+            version: Version::HTTP_11,
             until_close: false,
         }
     }
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -106,15 +106,15 @@
     };
     let time_left = Millis(active.deadline.since(node.now()));
     let served = tokio::time::timeout(time_left.duration(), active.run(reply)).await;
-    let (end, outcome) = if let Ok(served) = served {
-        served?
+    let ended = if let Ok(ended) = served {
+        ended
     } else {
         let status = StatusCode::GATEWAY_TIMEOUT;
-        let end = reply.refuse(status, None, "the time is over").await?;
-        (end, end.outcome("timeout", "cut_deadline"))
+        let refused = reply.refuse(status, None, "the time is over").await;
+        refused.map(|end| (end, end.outcome("timeout", "cut_deadline")))
     };
-    active.record(outcome, reply);
-    Ok(end)
+    active.record(ended.as_ref().map_or("unwritten", |ended| ended.1), reply);
+    ended.map(|(end, _)| end)
 }
 
 impl ActiveRequest<'_> {
