Check an endpoint twice before a reset connection counts as a crash

Callers saw: requests were refused as crashes_endpoints after connections to their engines were reset.

A connection that is accepted and then closed is now followed by a second one. An engine that is gone refuses or closes that as well.

--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -69,7 +69,12 @@
     let (node, endpoint) = (node.clone(), endpoint.clone());
     actix_rt::spawn(async move {
         node.metrics.connections.inc();
-        let connected = connect(address).await;
+        let mut connected = connect(address).await;
+        if connected.as_ref().is_err_and(is_closed) {
+            // A connection that was reset is no crash if another one stays open.
+            node.metrics.connections.inc();
+            connected = connect(address).await;
+        }
         let Some(check) = node.checks.borrow_mut().remove(&endpoint) else {
             return;
         };
@@ -92,6 +97,11 @@
     }
 }
 
+/// Returns whether a connection was accepted and then closed.
+fn is_closed(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionAborted
+}
+
 /// Waits for the check of an endpoint, if one is in progress.
 pub(crate) async fn wait_for_check(node: &Node, endpoint: &EndpointName) {
     let done = {
--- a/crates/cumin-serve/tests/all/crashing_part.rs
+++ b/crates/cumin-serve/tests/all/crashing_part.rs
@@ -36,6 +36,8 @@
     counted_from: Cell<Option<Instant>>,
     /// Whether the part no longer crashes engines.
     repaired: Cell<bool>,
+    /// Whether the part makes engines reset connections instead.
+    resets: Cell<bool>,
     /// Arrivals of requests with the bad part.
     bad_arrivals: RefCell<Vec<Instant>>,
 }
@@ -60,6 +62,8 @@
     store: MemoryStore,
     record: Rc<Record>,
     starts: Cell<u32>,
+    /// Whether the next connection is closed.
+    closes_next: Cell<bool>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
@@ -72,6 +76,7 @@
             store,
             record,
             starts: Cell::new(0),
+            closes_next: Cell::new(false),
             tasks: RefCell::default(),
         });
         engine.accept(listener);
@@ -87,6 +92,9 @@
         let engine = self.clone();
         let task = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                if engine.closes_next.take() {
+                    continue;
+                }
                 let task = actix_rt::spawn(engine.clone().serve(stream));
                 engine.tasks.borrow_mut().push(task);
             }
@@ -111,6 +119,10 @@
             if stream.write_all(head.as_bytes()).await.is_err() {
                 return;
             }
+            if bad && self.record.resets.get() {
+                self.closes_next.set(true);
+                return;
+            }
             if bad && !self.record.repaired.get() {
                 actix_rt::spawn(self.crash());
                 return std::future::pending().await;
@@ -265,6 +277,31 @@
     });
 }
 
+/// A connection that was reset while it showed whether its engine is there counted as a crash of the
+/// engine (soak, seed 1).
+#[test]
+fn reset_check() {
+    run(async {
+        let entry = Entry::start_bare();
+        let record = Rc::new(Record::default());
+        for number in 0..ENGINE_COUNT {
+            Engine::start(number, entry.store.clone(), record.clone()).await;
+        }
+        entry.publish(&["key"]);
+        entry.wait_ready().await;
+        let pause = Duration::from_millis(200);
+        let part = |_| BAD_PART.into();
+        record.resets.set(true);
+        let end = Instant::now() + Duration::from_secs(2);
+        send_requests(entry.callers, "reset", part, pause, end).await;
+        record.resets.set(false);
+        record.repaired.set(true);
+        let end = Instant::now() + Duration::from_secs(1);
+        let share = send_requests(entry.callers, "sound", part, pause / 10, end).await;
+        assert!(share > 0.9, "{share} of the sound requests are served");
+    });
+}
+
 /// All entries were restarted and had forgotten which part crashes engines, so it crashed as many
 /// again.
 #[test]
