Give each call to a plain service its own connection

Calls that may be repeated reused connections. The answer of a plain service carries no id of its call, and the pool of awc checks a connection only before it sends, so a copy of an answer that arrived later was taken for the answer to the next call: callers of look-ups got the answer of another caller. service_answers::late_copy and bytes_after failed before with the body of another call. Calls that may run only once already had their own connection.

--- a/crates/cumin-node/src/request/plain.rs
+++ b/crates/cumin-node/src/request/plain.rs
@@ -126,15 +126,14 @@
     let method: Method = method
         .parse()
         .map_err(|_| AttemptFailure::Rejected { status: 400 })?;
-    // On a kept-alive connection that the endpoint has just closed, a call fails after its first
-    // byte was sent and can't be repeated. A call that may run only once gets a new connection.
-    let client = match repeat {
-        Repeat::Once(_) => &ctx.unpooled,
-        Repeat::Idempotent => &ctx.pooled,
-    };
     let left = active.deadline.since(ctx.clock.now());
-    let mut call = client
+    // Answers carry no id of their call, so on a reused connection a late copy of an answer would
+    // be taken for the answer to the next call. On a connection that the endpoint has just closed,
+    // a call fails after its first byte was sent, and one that may run only once can't be repeated.
+    let mut call = ctx
+        .unpooled
         .request(method, format!("http://{}/{path}", selected.address))
+        .force_close()
         .insert_header((header::REQUEST_ID, descriptor.id.to_string()))
         .insert_header((header::ATTEMPT_ID, attempt.to_string()))
         .insert_header((header::DEADLINE_MS, left.to_string()));
--- a/crates/cumin-testbed/tests/all/main.rs
+++ b/crates/cumin-testbed/tests/all/main.rs
@@ -1,9 +1,13 @@
 //! Tests of the whole system over loopback sockets.
 
+mod scripted;
 mod support;
 
 mod actions;
 mod configuration;
+mod engine_answers;
+mod entry_answers;
 mod overload;
 mod resumes;
+mod service_answers;
 mod streams;
--- /dev/null
+++ b/crates/cumin-testbed/tests/all/service_answers.rs
@@ -0,0 +1,130 @@
+//! Answers of plain services that come late, twice, in parts or in an unusual framing.
+
+use std::rc::Rc;
+
+use cumin_client::{PlainAnswer, PlainCall};
+use cumin_testbed::{Options, Testbed};
+use cumin_types::{Millis, Outcome};
+use cumin_wire::cloud::Kind;
+use uuid::Uuid;
+
+use crate::scripted::{Script, Scripted, Step, answer};
+use crate::support::{KEY, document, start};
+
+/// Starts one node with the scripted service as the only plain one.
+async fn scripted(script: Script) -> (Testbed, Scripted) {
+    let mut document = document();
+    let desk = document.services.get_mut("oven-desk").expect("a service");
+    desk.workers.clear();
+    let mut options = Options {
+        node_count: 1,
+        engine_count: Some(1),
+        ..Options::default()
+    };
+    options.node.plain_deadline = Millis(3_000);
+    let bed = start(document, options).await;
+    let service = Scripted::start(script).await;
+    service.register(&bed, Kind::Plain, "oven-desk", "hamilton");
+    (bed, service)
+}
+
+fn quote(number: usize) -> PlainCall {
+    PlainCall {
+        method: "POST".into(),
+        service: "oven-desk".into(),
+        path: "quotes".into(),
+        body: format!(r#"{{"quote":{number}}}"#),
+        ..PlainCall::default()
+    }
+}
+
+fn booking() -> PlainCall {
+    PlainCall {
+        path: "bookings".into(),
+        key: Some(Uuid::now_v7()),
+        ..quote(0)
+    }
+}
+
+async fn call(bed: &Testbed, call: &PlainCall) -> PlainAnswer {
+    let answer = bed.client(KEY).call_once(call).await;
+    answer.expect("an answer of the entry")
+}
+
+/// Guards against a late copy of an answer that is taken for the answer to the next call.
+#[actix_rt::test]
+async fn late_copy() {
+    let script: Script = Rc::new(|_, count| {
+        let sent = answer(200, &format!("answer {count}"));
+        vec![Step::Send(sent.clone()), Step::SendLate(sent)]
+    });
+    let (bed, _service) = scripted(script).await;
+    for number in 0..4 {
+        let quoted = call(&bed, &quote(number)).await;
+        assert_eq!(quoted.body, format!("answer {number}"));
+    }
+    for number in 4..8 {
+        let booked = call(&bed, &booking()).await;
+        assert_eq!(booked.body, format!("answer {number}"));
+    }
+}
+
+/// Guards against bytes after an answer that reach the caller of this call or the next one.
+#[actix_rt::test]
+async fn bytes_after() {
+    let script: Script = Rc::new(|_, count| {
+        let sent = answer(200, &format!("answer {count}"));
+        let after = [&sent[..], b"HTTP/1.1 200 X\r\ncontent-length: 5\r\n\r\nst"].concat();
+        vec![Step::Send(after), Step::Send(b"ray".to_vec())]
+    });
+    let (bed, _service) = scripted(script).await;
+    for number in 0..4 {
+        let quoted = call(&bed, &quote(number)).await;
+        assert_eq!(quoted.body, format!("answer {number}"));
+    }
+}
+
+/// Guards against an answer without a body whose caller waits for one or gets that of another.
+#[actix_rt::test]
+async fn no_content() {
+    let script: Script = Rc::new(move |_, count| {
+        let empty = b"HTTP/1.1 204 X\r\n\r\n".to_vec();
+        let next = answer(200, &format!("answer {count}"));
+        vec![Step::Send(if count % 2 == 0 { empty } else { next })]
+    });
+    let (bed, _service) = scripted(script).await;
+    for number in 0..4 {
+        let quoted = call(&bed, &quote(number)).await;
+        if number % 2 == 0 {
+            assert_eq!((quoted.status, &*quoted.body), (204, ""));
+        } else {
+            assert_eq!(quoted.body, format!("answer {number}"));
+        }
+    }
+}
+
+/// Guards against a booking that is reported as not run, or sent again, after its service answered
+/// with bytes that are no answer or closed the connection.
+#[actix_rt::test]
+async fn spoiled_booking() {
+    for sent in [
+        "",
+        "HTTP/1.1 2",
+        "HTTP/1.1 200 X\r\nconte",
+        "no answer\r\n\r\n",
+    ] {
+        let script: Script =
+            Rc::new(move |_, _| vec![Step::Send(sent.as_bytes().to_vec()), Step::Close]);
+        let (bed, service) = scripted(script).await;
+        let made = booking();
+        for _ in 0..2 {
+            let booked = call(&bed, &made).await;
+            assert_eq!(
+                booked.outcome,
+                Some(Outcome::Unknown),
+                "{sent:?}: {booked:?}"
+            );
+        }
+        assert_eq!(service.requests.borrow().len(), 1, "{sent:?}");
+    }
+}
