Move the client connection of cumin-serve to cumin-http

The clients of the platform, of engines and of plain services need the same care with answers: where they end, which are informational, and whether a connection may be reused. cumin_http::client sends a call on a connection of its own. The content of the connection is unchanged, except that a request can tell the endpoint to close it.

--- a/crates/cumin-serve/src/connection.rs
+++ b/crates/cumin-http/src/connection.rs
@@ -13,18 +13,26 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, Uri};
+use actix_http::{
+    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
+    Uri,
+};
 use bytes::{Bytes, BytesMut};
 use cumin_types::Millis;
 use derive_more::{Display, Error};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-use crate::caller::has_body;
+/// Returns whether an answer with this status may have a body. The encoder leaves out the framing
+/// header of the others, but not the bytes of a body or of its last chunk.
+#[must_use]
+pub const fn has_body(status: StatusCode) -> bool {
+    !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
 
 /// Errors of an exchange that yielded no complete answer.
 #[derive(Debug, Display, Error)]
-pub(crate) enum AnswerError {
+pub enum AnswerError {
     /// The connection was closed or failed.
     #[display("the connection ended: {_0}")]
     Closed(io::Error),
@@ -50,7 +58,7 @@
 
 /// A connection to an endpoint.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     stream: TcpStream,
     input: BytesMut,
     output: BytesMut,
@@ -59,22 +67,28 @@
     /// Whether a write failed. Later reads do not report a reset again, but a regular end.
     write_failed: bool,
     /// Number of requests sent on it.
-    pub(crate) requests: u32,
+    pub requests: u32,
     /// Time since which it is idle, and the time that the endpoint keeps it open.
-    pub(crate) idle: (Millis, Option<Millis>),
+    pub idle: (Millis, Option<Millis>),
     /// Identifier of the request that was answered last on it.
-    pub(crate) answered: Option<Arc<str>>,
+    pub answered: Option<Arc<str>>,
 }
 
 /// A request to an endpoint.
 #[derive(Debug)]
-pub(crate) struct Outbound<'a> {
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: &'a Bytes,
+pub struct Outbound<'a> {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers, with `host`.
+    pub headers: HeaderMap,
+    /// Body; empty if there is none.
+    pub body: &'a Bytes,
     /// Whether the caller sent a body, even an empty one.
-    pub(crate) has_body: bool,
+    pub has_body: bool,
+    /// Whether the endpoint should close the connection after its answer.
+    pub close: bool,
 }
 
 /// The unread part of an answer's body.
@@ -85,18 +99,22 @@
 }
 
 /// An answer whose head was read.
-pub(crate) struct Answer {
+pub struct Answer {
     connection: Connection,
     body: Body,
     keep_alive: bool,
     /// Whether the body has no framing and ends with the connection.
-    pub(crate) until_close: bool,
-    pub(crate) head: ResponseHead,
+    pub until_close: bool,
+    /// Status and headers.
+    pub head: ResponseHead,
 }
 
 impl Connection {
     /// Connects to an endpoint within `limit`.
-    pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+    ///
+    /// # Errors
+    /// When no connection is established in time.
+    pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         Ok(Self {
@@ -112,13 +130,18 @@
     }
 
     /// Returns whether an idle connection is still open and without unsolicited input.
-    pub(crate) fn is_open(&self) -> bool {
+    #[must_use]
+    pub fn is_open(&self) -> bool {
         matches!(self.unsolicited(), Ok(0))
     }
 
-    /// Reads the input of an idle connection, and returns its size in bytes, of at most 4 KiB; fails
-    /// if the connection is closed. With any input it must not be reused.
-    pub(crate) fn unsolicited(&self) -> io::Result<usize> {
+    /// Reads the input of an idle connection, and returns its size in bytes, of at most 4 KiB. With
+    /// any input it must not be reused.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is closed.
+    pub fn unsolicited(&self) -> io::Result<usize> {
         let mut bytes = [0; 4096];
         match self.stream.try_read(&mut bytes) {
             Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
@@ -130,7 +153,10 @@
     /// Sends a request and reads up to the first answer head that `is_own` accepts.
     ///
     /// Other answers are read to their end and discarded, up to a number of them.
-    pub(crate) async fn exchange(
+    ///
+    /// # Errors
+    /// When the connection fails or the bytes received are no answer.
+    pub async fn exchange(
         mut self,
         config: &ServiceConfig,
         outbound: Outbound<'_>,
@@ -142,6 +168,9 @@
         head.method = outbound.method.clone();
         head.uri = outbound.uri;
         head.headers = outbound.headers;
+        if outbound.close {
+            head.set_connection_type(ConnectionType::Close);
+        }
         let size = if outbound.has_body {
             BodySize::Sized(outbound.body.len() as u64)
         } else {
@@ -249,7 +278,10 @@
 
 impl Answer {
     /// Reads the next bytes of the body; returns `None` at its end.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, AnswerError> {
+    ///
+    /// # Errors
+    /// When the connection fails before the end, or the framing is malformed.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, AnswerError> {
         let mut framing_bytes = 0;
         loop {
             match &mut self.body {
@@ -288,7 +320,10 @@
     }
 
     /// Reads the complete body, of at most `limit` bytes.
-    pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, AnswerError> {
+    ///
+    /// # Errors
+    /// When the body is longer, the connection fails before its end, or the framing is malformed.
+    pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, AnswerError> {
         let mut first = Bytes::new();
         let mut all = BytesMut::new();
         while let Some(bytes) = self.next().await? {
@@ -329,7 +364,8 @@
     }
 
     /// Returns the number of bytes that were read after the end of the answer.
-    pub(crate) fn trailing_bytes(&self) -> usize {
+    #[must_use]
+    pub fn trailing_bytes(&self) -> usize {
         match self.body {
             Body::None => self.connection.input.len(),
             Body::Framed(_) | Body::UntilClose => 0,
@@ -338,7 +374,8 @@
 
     /// Returns the connection if it may be reused: the answer was read to its end, and nothing
     /// follows it.
-    pub(crate) fn into_connection(self) -> Option<Connection> {
+    #[must_use]
+    pub fn into_connection(self) -> Option<Connection> {
         let connection = self.connection;
         let complete = matches!(self.body, Body::None);
         let clean =
--- a/crates/cumin-http/src/lib.rs
+++ b/crates/cumin-http/src/lib.rs
@@ -1,8 +1,12 @@
-//! An HTTP/1.1 server on one address with a bounded number of connections and graceful shutdown.
+//! An HTTP/1.1 server on one address with a bounded number of connections and graceful shutdown,
+//! and client connections whose reuse their user decides.
 //!
 //! The accept loop and all connections run as local tasks of the calling `actix-rt` system, so
 //! handlers may use state that is not `Send`. Nodes and stand-ins use the same server.
 
+pub mod client;
+pub mod connection;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -14,13 +14,13 @@
 use tokio::time::Instant;
 
 use crate::caller::{Reply, ReplyEnd};
-use crate::connection::{Answer, AnswerError, Connection, Outbound};
 use crate::crash;
 use crate::events::EventSplitter;
 use crate::leaving;
 use crate::limit;
 use crate::node::Node;
 use crate::request::{ActiveRequest, seconds};
+use cumin_http::connection::{Answer, AnswerError, Connection, Outbound};
 
 /// Timeout of a connection to an endpoint: several times the latency between places, and less than
 /// the second after which a lost SYN is retransmitted.
@@ -150,6 +150,7 @@
             headers: dialect.attempt_headers(&inbound.headers, &attempt),
             body: &self.inbound.body,
             has_body: self.inbound.has_body,
+            close: false,
         };
         let is_own = |head: &ResponseHead| {
             let answered = dialect.parse_answer(head).id;
--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -14,6 +14,7 @@
 use actix_http::{Method, Request, RequestHead, Response, StatusCode, Version};
 use bytes::{Buf as _, Bytes, BytesMut};
 use cumin_entry::document::Limits;
+use cumin_http::connection::has_body;
 use cumin_types::Millis;
 use derive_more::Display;
 use futures_util::future::{Either, select};
@@ -251,12 +252,6 @@
     }
 }
 
-/// Returns whether an answer with this status may have a body. The encoder leaves out the framing
-/// header of the others, but not the bytes of a body or of its last chunk.
-pub(crate) const fn has_body(status: StatusCode) -> bool {
-    !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-}
-
 /// Serves one connection until it ends.
 pub(crate) async fn serve(node: Rc<Node>, stream: TcpStream, role: Role) {
     let ended = serve_requests(&node, stream, role).await;
--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -14,9 +14,9 @@
 use tokio::sync::Notify;
 
 use crate::attempt::CONNECT_TIMEOUT;
-use crate::connection::Connection;
 use crate::node::Node;
 use crate::quarantine;
+use cumin_http::connection::Connection;
 
 /// Maximum time that a retry waits until it is known whether the last endpoint crashed. A refused
 /// connection is known after a round trip.
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -9,7 +9,6 @@
 mod attempt;
 mod caller;
 mod clock;
-mod connection;
 mod crash;
 mod duty;
 mod events;
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -26,9 +26,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::connection::Connection;
 use crate::crash::Check;
 use crate::metrics::Metrics;
+use cumin_http::connection::Connection;
 
 /// Adapters of the platform that a node runs on.
 pub struct Platform {
