Read answers of endpoints to their end

Callers of a plain service got a part of an answer as a complete one, with outcome done, when the service closed the connection early; an empty body for an answer without a length; and the status 100 for an answer that followed an informational one. For a call that may run only once, this was recorded as its answer.

The cause is the client: awc reports a body as complete when its connection closes, takes an answer without a length as empty, and an informational answer as the answer. Calls of plain services and of engines now go through cumin_http::client, which distinguishes these cases.

Failed before: service_answers::closed_early ("whole" instead of "whole answer"), without_length (an empty body), informational (status 100), and engine_answers::informational, which did not finish within 60 s because the attempt was retried.

--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -258,7 +258,7 @@
     };
     let left = Millis(active.deadline.since(ctx.clock.now()));
     engine::open(engine::Options {
-        client: &ctx.pooled,
+        connect_timeout: ctx.options.connect_timeout,
         address: selected.address,
         descriptor: &descriptor,
         transcript: &transcript,
--- a/crates/cumin-node/src/request/engine.rs
+++ b/crates/cumin-node/src/request/engine.rs
@@ -1,18 +1,17 @@
 //! Client of a model engine: sends the request of one attempt and reads the events of the answer.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::time::Duration;
 
-use bytes::Bytes;
+use actix_http::Method;
+use cumin_http::client::{self, CallError};
+use cumin_http::connection::Answer;
 use cumin_request::{AttemptFailure, TokenCounts, Transcript};
 use cumin_types::{AttemptId, Descriptor, Millis, Position};
 use cumin_wire::completion::{Chunk, Resume};
 use cumin_wire::{header, sse};
-use futures_util::{Stream, StreamExt};
 use serde_json::{Map, Value};
 
-use crate::http;
-
 /// An event of an engine's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Event {
@@ -32,14 +31,14 @@
 
 /// The stream of events from an engine.
 pub(crate) struct EventStream {
-    body: Pin<Box<dyn Stream<Item = Result<Bytes, awc::error::PayloadError>>>>,
+    answer: Answer,
     reader: sse::Reader,
     expected: Position,
 }
 
 /// Options of [`open`].
 pub(crate) struct Options<'a> {
-    pub(crate) client: &'a awc::Client,
+    pub(crate) connect_timeout: Duration,
     pub(crate) address: SocketAddr,
     pub(crate) descriptor: &'a Descriptor,
     pub(crate) transcript: &'a Transcript,
@@ -71,27 +70,32 @@
     } else {
         "completions"
     };
-    let response = options
-        .client
-        .post(format!("http://{}/v1/{path}", options.address))
-        .insert_header((header::REQUEST_ID, options.descriptor.id.to_string()))
-        .insert_header((header::ATTEMPT_ID, options.attempt.to_string()))
-        .insert_header((header::PRIORITY, options.descriptor.priority.to_string()))
-        .insert_header((header::DEADLINE_MS, options.time_left.to_string()))
-        .send_json(&body)
+    let call = client::Call {
+        method: Method::POST,
+        path: format!("/v1/{path}"),
+        headers: vec![
+            (header::REQUEST_ID, options.descriptor.id.to_string()),
+            (header::ATTEMPT_ID, options.attempt.to_string()),
+            (header::PRIORITY, options.descriptor.priority.to_string()),
+            (header::DEADLINE_MS, options.time_left.to_string()),
+            ("content-type", "application/json".to_owned()),
+        ],
+        body: Some(Value::Object(body).to_string().into()),
+    };
+    let answer = client::send(options.address, call, options.connect_timeout)
         .await
         .map_err(|error| send_failure(&error))?;
-    let status = response.status().as_u16();
+    let status = answer.head.status.as_u16();
     if status == 200 {
         return Ok(EventStream {
-            body: Box::pin(response),
+            answer,
             reader: sse::Reader::default(),
             expected: from,
         });
     }
     Err(status_failure(
         status,
-        response.headers().contains_key(header::NOT_STARTED),
+        answer.head.headers.contains_key(header::NOT_STARTED),
     ))
 }
 
@@ -105,11 +109,11 @@
 }
 
 /// Returns the failure for an error on sending, by whether a byte may have reached the endpoint.
-pub(crate) fn send_failure(error: &awc::error::SendRequestError) -> AttemptFailure {
-    if http::is_unsent(error) {
-        AttemptFailure::NotConnected
-    } else {
-        AttemptFailure::ConnectionLost
+pub(crate) fn send_failure(error: &CallError) -> AttemptFailure {
+    match error {
+        CallError::Invalid(_) => AttemptFailure::Rejected { status: 400 },
+        CallError::NotSent(_) => AttemptFailure::NotConnected,
+        CallError::NoAnswer(_) => AttemptFailure::ConnectionLost,
     }
 }
 
@@ -129,12 +133,12 @@
                     return Ok(event);
                 }
             }
-            match self.body.next().await {
-                Some(Ok(bytes)) => self
+            match self.answer.next().await {
+                Ok(Some(bytes)) => self
                     .reader
                     .push(&bytes)
                     .map_err(|_| AttemptFailure::ConnectionLost)?,
-                Some(Err(_)) | None => return Err(AttemptFailure::ConnectionLost),
+                Ok(None) | Err(_) => return Err(AttemptFailure::ConnectionLost),
             }
         }
     }
--- a/crates/cumin-node/src/request/plain.rs
+++ b/crates/cumin-node/src/request/plain.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use awc::http::Method;
+use actix_http::Method;
+use cumin_http::client;
 use cumin_request::{AttemptFailure, Finish, PlainResponse, TokenCounts};
 use cumin_types::{AttemptId, Call, Descriptor, Outcome, Repeat};
 use cumin_wire::header;
@@ -127,45 +128,45 @@
         .parse()
         .map_err(|_| AttemptFailure::Rejected { status: 400 })?;
     let left = active.deadline.since(ctx.clock.now());
-    // Answers carry no id of their call, so on a reused connection a late copy of an answer would
-    // be taken for the answer to the next call. On a connection that the endpoint has just closed,
-    // a call fails after its first byte was sent, and one that may run only once can't be repeated.
-    let mut call = ctx
-        .unpooled
-        .request(method, format!("http://{}/{path}", selected.address))
-        .force_close()
-        .insert_header((header::REQUEST_ID, descriptor.id.to_string()))
-        .insert_header((header::ATTEMPT_ID, attempt.to_string()))
-        .insert_header((header::DEADLINE_MS, left.to_string()));
+    let mut headers = vec![
+        (header::REQUEST_ID, descriptor.id.to_string()),
+        (header::ATTEMPT_ID, attempt.to_string()),
+        (header::DEADLINE_MS, left.to_string()),
+    ];
     if let Some(content_type) = content_type {
-        call = call.insert_header(("content-type", content_type.as_str()));
+        headers.push(("content-type", content_type.clone()));
     }
     if let Repeat::Once(key) = repeat {
-        call = call.insert_header((header::IDEMPOTENCY_KEY, key.to_string()));
+        headers.push((header::IDEMPOTENCY_KEY, key.to_string()));
     }
     let body = if *binary {
         hex::decode(&descriptor.body).map_err(|_| AttemptFailure::Rejected { status: 400 })?
     } else {
         descriptor.body.clone().into_bytes()
     };
+    let call = client::Call {
+        method,
+        path: format!("/{path}"),
+        headers,
+        body: Some(body.into()),
+    };
     let exchange = async {
-        let mut response = call
-            .send_body(body)
+        let mut answer = client::send(selected.address, call, ctx.options.connect_timeout)
             .await
             .map_err(|error| engine::send_failure(&error))?;
-        let status = response.status().as_u16();
-        let not_started = response.headers().contains_key(header::NOT_STARTED);
+        let status = answer.head.status.as_u16();
+        let not_started = answer.head.headers.contains_key(header::NOT_STARTED);
         if not_started || (matches!(repeat, Repeat::Idempotent) && status >= 500) {
             return Err(engine::status_failure(status, not_started));
         }
-        let content_type = response
-            .headers()
+        let content_type = answer
+            .head
+            .headers
             .get("content-type")
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let bytes = response
-            .body()
-            .limit(MAX_ANSWER_BYTES)
+        let bytes = answer
+            .read_body(MAX_ANSWER_BYTES)
             .await
             .map_err(|_| AttemptFailure::ConnectionLost)?;
         Ok(response_body(status, content_type, &bytes))
--- a/crates/cumin-testbed/tests/all/engine_answers.rs
+++ b/crates/cumin-testbed/tests/all/engine_answers.rs
@@ -192,3 +192,16 @@
         assert_eq!(answer.finish_reason, format!("rejected_{status}"));
     }
 }
+
+/// Guards against an answer that begins with an informational one and is taken for a failure.
+#[actix_rt::test]
+async fn informational() {
+    let script: Script = Rc::new(|request, _| {
+        let early = b"HTTP/1.1 103 X\r\n\r\n".to_vec();
+        vec![Step::Send(early), Step::Send(rest(request))]
+    });
+    let (bed, engine) = scripted(script).await;
+    let answer = stream(&bed, "rye").await;
+    assert_eq!(answer.tokens, expected("rye"));
+    assert_eq!(engine.requests.borrow().len(), 1);
+}
--- a/crates/cumin-testbed/tests/all/service_answers.rs
+++ b/crates/cumin-testbed/tests/all/service_answers.rs
@@ -8,7 +8,7 @@
 use cumin_wire::cloud::Kind;
 use uuid::Uuid;
 
-use crate::scripted::{Script, Scripted, Step, answer};
+use crate::scripted::{Script, Scripted, Step, answer, chunk, chunked_head};
 use crate::support::{KEY, document, start};
 
 /// Starts one node with the scripted service as the only plain one.
@@ -84,6 +84,65 @@
     }
 }
 
+/// Guards against an answer that ends early and is reported as a complete one.
+#[actix_rt::test]
+async fn closed_early() {
+    let whole = answer(200, "whole answer");
+    let sized = vec![Step::Send(whole[..whole.len() - 7].to_vec()), Step::Close];
+    let parts = vec![
+        Step::Send(chunked_head()),
+        Step::Send(chunk("whole")),
+        Step::Close,
+    ];
+    for steps in [sized, parts] {
+        let early = steps.clone();
+        let script: Script = Rc::new(move |_, count| match count {
+            0 => early.clone(),
+            _ => vec![Step::Send(answer(200, "whole answer"))],
+        });
+        let (bed, service) = scripted(script).await;
+        let quoted = call(&bed, &quote(0)).await;
+        assert_eq!((quoted.status, &*quoted.body), (200, "whole answer"));
+        assert_eq!(service.requests.borrow().len(), 2);
+
+        let early = steps.clone();
+        let (bed, service) = scripted(Rc::new(move |_, _| early.clone())).await;
+        let booked = call(&bed, &booking()).await;
+        assert_eq!(booked.outcome, Some(Outcome::Unknown), "{booked:?}");
+        assert!(!booked.body.contains("whole"), "{booked:?}");
+        assert_eq!(service.requests.borrow().len(), 1);
+    }
+}
+
+/// Guards against an answer without a length that is reported as an empty one.
+#[actix_rt::test]
+async fn without_length() {
+    let sent = b"HTTP/1.1 200 X\r\nconnection: close\r\n\r\nbooked".to_vec();
+    let script: Script = Rc::new(move |_, _| vec![Step::Send(sent.clone()), Step::Close]);
+    let (bed, _service) = scripted(script).await;
+    for made in [quote(0), booking()] {
+        let answered = call(&bed, &made).await;
+        assert_eq!((answered.status, &*answered.body), (200, "booked"));
+    }
+}
+
+/// Guards against an informational answer that is taken for the answer.
+#[actix_rt::test]
+async fn informational() {
+    for status in [100, 102, 103] {
+        let script: Script = Rc::new(move |_, _| {
+            let early = format!("HTTP/1.1 {status} X\r\n\r\n").into_bytes();
+            vec![Step::Send(early), Step::Send(answer(200, "booked"))]
+        });
+        let (bed, service) = scripted(script).await;
+        for made in [quote(0), booking()] {
+            let answered = call(&bed, &made).await;
+            assert_eq!((answered.status, &*answered.body), (200, "booked"));
+        }
+        assert_eq!(service.requests.borrow().len(), 2);
+    }
+}
+
 /// Guards against an answer without a body whose caller waits for one or gets that of another.
 #[actix_rt::test]
 async fn no_content() {
