Report an answer of an entry that ends early as no answer

cumin-client returned a part of an answer as the whole one when the entry's connection closed within the body, as it does when the entry is killed, because awc reports such a body as complete. The call is now made through cumin_http::client, so that the answer counts as lost and call() asks another entry. entry_answers::closed_early failed before: an answer with the body "whole".

--- a/crates/cumin-client/src/lib.rs
+++ b/crates/cumin-client/src/lib.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_http::header::HeaderMap;
 use cumin_types::Outcome;
 use derive_more::{Display, Error};
 use rand::seq::IndexedRandom;
@@ -53,6 +54,9 @@
     }
 }
 
+/// Timeout of a connection to an entry.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Errors of a call.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Error {
@@ -97,9 +101,7 @@
     /// Creates a client that knows the entries of `options`.
     #[must_use]
     pub fn new(options: Options) -> Self {
-        let connector = awc::Connector::new()
-            .timeout(Duration::from_secs(1))
-            .limit(8192);
+        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(8192);
         let http = awc::Client::builder()
             .connector(connector)
             .disable_timeout()
@@ -181,17 +183,13 @@
 }
 
 /// Reads the `retry-after` header of an answer, in whole seconds.
-fn retry_after<S>(answer: &awc::ClientResponse<S>) -> Option<Duration> {
-    let value = answer.headers().get("retry-after")?.to_str().ok()?;
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("retry-after")?.to_str().ok()?;
     value.parse().ok().map(Duration::from_secs)
 }
 
 /// Reads the outcome header of an answer.
-fn outcome<S>(answer: &awc::ClientResponse<S>) -> Option<Outcome> {
-    let value = answer
-        .headers()
-        .get(cumin_wire::header::OUTCOME)?
-        .to_str()
-        .ok()?;
+fn outcome(headers: &HeaderMap) -> Option<Outcome> {
+    let value = headers.get(cumin_wire::header::OUTCOME)?.to_str().ok()?;
     serde_json::from_value(serde_json::Value::String(value.into())).ok()
 }
--- a/crates/cumin-client/src/plain.rs
+++ b/crates/cumin-client/src/plain.rs
@@ -1,10 +1,14 @@
 //! Calls of plain services.
 
+use cumin_http::client;
 use cumin_types::Outcome;
 use cumin_wire::header;
 use uuid::Uuid;
 
-use crate::{Client, Error, outcome, retry_after};
+use crate::{CONNECT_TIMEOUT, Client, Error, outcome, retry_after};
+
+/// Maximum size of an answer's body.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// A call of a plain service.
 #[derive(Clone, Debug, Default)]
@@ -49,34 +53,40 @@
             .method
             .parse()
             .map_err(|_| no_answer("not an HTTP method"))?;
-        let url = format!("http://{entry}/v1/services/{}/{}", call.service, call.path);
-        let mut request = self
-            .http
-            .request(method, url)
-            .timeout(self.options.timeout)
-            .insert_header(("authorization", format!("Bearer {}", self.options.key)));
+        let mut headers = vec![("authorization", format!("Bearer {}", self.options.key))];
         if let Some(key) = call.key {
-            request = request.insert_header((header::IDEMPOTENCY_KEY, key.to_string()));
+            headers.push((header::IDEMPOTENCY_KEY, key.to_string()));
         }
         if !call.body.is_empty() {
-            request = request.insert_header(("content-type", "application/json"));
+            headers.push(("content-type", "application/json".to_owned()));
         }
-        let sent = request.send_body(call.body.clone()).await;
-        let mut answer = sent.map_err(|error| {
+        let sent = client::Call {
+            method,
+            path: format!("/v1/services/{}/{}", call.service, call.path),
+            headers,
+            body: Some(call.body.clone().into()),
+        };
+        let exchange = async {
+            let mut answer = client::send(entry, sent, CONNECT_TIMEOUT)
+                .await
+                .map_err(|error| error.to_string())?;
+            let body = answer.read_body(MAX_ANSWER_BYTES).await;
+            body.map(|body| (answer.head, body))
+                .map_err(|error| error.to_string())
+        };
+        let result = actix_rt::time::timeout(self.options.timeout, exchange).await;
+        let result = result.unwrap_or_else(|_| Err("no whole answer in time".into()));
+        let (head, body) = result.map_err(|error| {
             self.forget_entry(entry);
             no_answer(&format!("{entry}: {error}"))
         })?;
-        let id = answer
-            .headers()
+        let id = head
+            .headers
             .get(header::REQUEST_ID)
             .and_then(|id| id.to_str().ok());
         let id = id.unwrap_or_default().to_owned();
-        let (status, outcome) = (answer.status().as_u16(), outcome(&answer));
-        let retry_after = retry_after(&answer);
-        let body = answer
-            .body()
-            .await
-            .map_err(|error| no_answer(&error.to_string()))?;
+        let (status, outcome) = (head.status.as_u16(), outcome(&head.headers));
+        let retry_after = retry_after(&head.headers);
         let body = String::from_utf8_lossy(&body).into_owned();
         Ok(PlainAnswer {
             status,
--- a/crates/cumin-client/src/stream.rs
+++ b/crates/cumin-client/src/stream.rs
@@ -163,7 +163,7 @@
         };
         let status = answer.status().as_u16();
         if status != 200 {
-            let (outcome, retry_after) = (outcome(&answer), retry_after(&answer));
+            let (outcome, retry_after) = (outcome(answer.headers()), retry_after(answer.headers()));
             let body = answer.body().await.unwrap_or_default();
             let body = String::from_utf8_lossy(&body).into_owned();
             // Retries at another entry: the node with the replica may not have detected yet that the
--- a/crates/cumin-testbed/tests/all/entry_answers.rs
+++ b/crates/cumin-testbed/tests/all/entry_answers.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cumin_client::{Client, Options};
+use cumin_client::{Client, Options, PlainCall};
 use cumin_types::Outcome;
 use cumin_wire::completion::Chunk;
+use uuid::Uuid;
 
-use crate::scripted::{Script, Scripted, Step, answer, chunk};
+use crate::scripted::{Script, Scripted, Step, answer, chunk, chunked_head};
 use crate::support::{KEY, chat};
 
 fn client(entries: &[&Scripted]) -> Client {
@@ -20,6 +21,39 @@
     })
 }
 
+fn booking() -> PlainCall {
+    PlainCall {
+        method: "POST".into(),
+        service: "oven-desk".into(),
+        path: "bookings".into(),
+        key: Some(Uuid::now_v7()),
+        body: "{}".into(),
+    }
+}
+
+/// Guards against an answer that ends early, as when its entry is killed, and is taken for a
+/// complete one.
+#[actix_rt::test]
+async fn closed_early() {
+    let whole = answer(200, "whole answer");
+    let sized = vec![Step::Send(whole[..whole.len() - 7].to_vec()), Step::Close];
+    let parts = vec![
+        Step::Send(chunked_head()),
+        Step::Send(chunk("whole")),
+        Step::Close,
+    ];
+    for steps in [sized, parts] {
+        let script: Script = Rc::new(move |_, count| match count {
+            0 => steps.clone(),
+            _ => vec![Step::Send(answer(200, "whole answer"))],
+        });
+        let entry = Scripted::start(script).await;
+        let client = client(&[&entry]);
+        let once = client.call_once(&booking()).await;
+        assert!(once.is_err(), "{once:?}");
+    }
+}
+
 /// Returns the events of tokens from position `from` to `to`.
 fn tokens(from: u64, to: u64) -> String {
     (from..=to)
