--- a/crates/cumin-testbed/tests/all/entry_answers.rs
+++ b/crates/cumin-testbed/tests/all/entry_answers.rs
@@ -56,14 +56,13 @@
 
 /// Returns the events of tokens from position `from` to `to`.
 fn tokens(from: u64, to: u64) -> String {
-    (from..=to)
-        .map(|position| {
-            let text = format!("t{position} ");
-            let chunk = Chunk::text("e", "crumb-8b", true, &text);
-            let data = serde_json::to_string(&chunk).expect("JSON");
-            format!("id: {position}\ndata: {data}\n\n")
-        })
-        .collect()
+    let event = |position| {
+        let text = format!("t{position} ");
+        let chunk = Chunk::text("e", "crumb-8b", true, &text);
+        let data = serde_json::to_string(&chunk).expect("JSON");
+        format!("id: {position}\ndata: {data}\n\n")
+    };
+    (from..=to).map(event).collect()
 }
 
 const END: &str = concat!(
