Follow the redirect of a plain call that was handed over

An entry that stops hands its calls over to their second nodes and redirects the callers there. cumin-client returned the redirect itself as the answer: status 303 with an empty body and no outcome. It now reads the answer at the entry that the redirect names, if that is one it may use. actions::handed_over_call failed before with status 303 instead of 200.

--- a/crates/cumin-client/src/plain.rs
+++ b/crates/cumin-client/src/plain.rs
@@ -1,5 +1,9 @@
 //! Calls of plain services.
 
+use std::net::SocketAddr;
+
+use actix_http::{ResponseHead, StatusCode, Uri};
+use bytes::Bytes;
 use cumin_http::client;
 use cumin_types::Outcome;
 use cumin_wire::header;
@@ -10,6 +14,9 @@
 /// Maximum size of an answer's body.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Maximum number of times that a request is followed to the entry it was handed over to.
+const MAX_REDIRECTS: usize = 4;
+
 /// A call of a plain service.
 #[derive(Clone, Debug, Default)]
 pub struct PlainCall {
@@ -66,20 +73,18 @@
             headers,
             body: Some(call.body.clone().into()),
         };
-        let exchange = async {
-            let mut answer = client::send(entry, sent, CONNECT_TIMEOUT)
-                .await
-                .map_err(|error| error.to_string())?;
-            let body = answer.read_body(MAX_ANSWER_BYTES).await;
-            body.map(|body| (answer.head, body))
-                .map_err(|error| error.to_string())
-        };
-        let result = actix_rt::time::timeout(self.options.timeout, exchange).await;
-        let result = result.unwrap_or_else(|_| Err("no whole answer in time".into()));
-        let (head, body) = result.map_err(|error| {
-            self.forget_entry(entry);
-            no_answer(&format!("{entry}: {error}"))
-        })?;
+        let (mut head, mut body) = self.exchange(entry, sent).await?;
+        for _ in 0..MAX_REDIRECTS {
+            let Some((next, path)) = self.redirect(entry, &head) else {
+                break;
+            };
+            let read = client::Call {
+                path,
+                headers: vec![("authorization", format!("Bearer {}", self.options.key))],
+                ..client::Call::default()
+            };
+            (head, body) = self.exchange(next, read).await?;
+        }
         let id = head
             .headers
             .get(header::REQUEST_ID)
@@ -97,6 +102,44 @@
         })
     }
 
+    /// Sends a call to an entry and reads its whole answer.
+    async fn exchange(
+        &self,
+        entry: SocketAddr,
+        call: client::Call,
+    ) -> Result<(ResponseHead, Bytes), Error> {
+        let exchange = async {
+            let mut answer = client::send(entry, call, CONNECT_TIMEOUT)
+                .await
+                .map_err(|error| error.to_string())?;
+            let body = answer.read_body(MAX_ANSWER_BYTES).await;
+            body.map(|body| (answer.head, body))
+                .map_err(|error| error.to_string())
+        };
+        let result = actix_rt::time::timeout(self.options.timeout, exchange).await;
+        let result = result.unwrap_or_else(|_| Err("no whole answer in time".into()));
+        result.map_err(|error| {
+            self.forget_entry(entry);
+            no_answer(&format!("{entry}: {error}"))
+        })
+    }
+
+    /// Returns the entry and the path where the answer of a request that `entry` has handed over
+    /// can be read.
+    fn redirect(&self, entry: SocketAddr, head: &ResponseHead) -> Option<(SocketAddr, String)> {
+        if head.status != StatusCode::SEE_OTHER || !head.headers.contains_key(header::REQUEST_ID) {
+            return None;
+        }
+        let location: Uri = head.headers.get("location")?.to_str().ok()?.parse().ok()?;
+        let next = match location.authority() {
+            Some(authority) => authority.as_str().parse().ok()?,
+            None => entry,
+        };
+        let path = location.path_and_query()?.to_string();
+        let is_request = path.starts_with("/v1/requests/");
+        (is_request && self.is_allowed(next)).then_some((next, path))
+    }
+
     /// Sends a call, with retries at other entries when one breaks the connection, and when the call
     /// was not run and the refusal allows it.
     ///
--- a/crates/cumin-testbed/tests/all/actions.rs
+++ b/crates/cumin-testbed/tests/all/actions.rs
@@ -203,3 +203,35 @@
     assert_eq!(again.body, first.body);
     assert_eq!(effects(&bed, call.key.expect("a key")), 1);
 }
+
+/// Guards against a call that is handed over in a planned stop and whose caller gets a redirect
+/// instead of the answer.
+#[actix_rt::test]
+async fn handed_over_call() {
+    let options = Options {
+        drain_time: cumin_types::Millis(300),
+        ..Options::default()
+    };
+    let bed = testbed(options).await;
+    let client = bed.client(KEY);
+    for service in bed.services.values() {
+        service.fault(|faults| faults.answer_delay = Duration::from_millis(1_000));
+    }
+    let call = PlainCall {
+        path: "quotes".into(),
+        key: None,
+        ..booking(Uuid::nil())
+    };
+    let stop = async {
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        let owner = bed.busy_node().expect("a node runs the call");
+        bed.stop_node(owner).await;
+    };
+    let (answer, ()) = futures_util::future::join(client.call(&call), stop).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(
+        (answer.status, answer.outcome),
+        (200, Some(Outcome::Done)),
+        "{answer:?}"
+    );
+}
