--- a/crates/cumin-testbed/tests/all/actions.rs
+++ b/crates/cumin-testbed/tests/all/actions.rs
@@ -215,7 +215,7 @@
     let bed = testbed(options).await;
     let client = bed.client(KEY);
     for service in bed.services.values() {
-        service.fault(|faults| faults.answer_delay = Duration::from_millis(1_000));
+        service.fault(|faults| faults.answer_delay = Duration::from_secs(1));
     }
     let call = PlainCall {
         path: "quotes".into(),
