Let a plain service be used again after a slow spell

A streaming route to a service without engine was refused as soon as whole streams took longer than the goal of the first event. Requests were refused by a mean that only answers can move, and what is refused brings none. The mean took the time of whole streams.

One in ten of the requests that measured times would refuse now runs as a trial, alone at its endpoint (one in twenty if it may run once only); a mean counts less the older it is, and not at all after 10 s. The time to the first event and the time to the end are two estimates.

--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -14,6 +14,9 @@
 //!   load keeps the nodes from using the same endpoint at the same time.
 //! * Overload: a request whose first event would come after its goal is refused at once, with the
 //!   time after which it may be retried.
+//! * A slow spell of all endpoints of a plain service: its measured times lead to refusals, and only
+//!   answers bring new ones. A small share of the requests that would be refused therefore runs as
+//!   trials, and a time that was measured long ago does not count.
 //! * An endpoint that accepts requests but does not answer: it is ranked last if it has
 //!   unanswered requests and was silent for longer than expected.
 
@@ -77,6 +80,8 @@
     pub engine: bool,
     /// Whether it was sent before: its time then says little of the engine.
     pub retry: bool,
+    /// Whether it may run once only.
+    pub once: bool,
 }
 
 /// Settings of [`Selector`].
@@ -137,6 +142,8 @@
     /// Time of the last event, once the answer has begun.
     last_event: Option<Millis>,
     estimate_ms: f64,
+    /// Whether it runs on a model engine.
+    engine: bool,
     /// What it found at the engine, unless its times are no sample.
     queue: Option<Queue>,
 }
@@ -203,8 +210,36 @@
     last_heard: Millis,
     /// End of the cooldown, and the number of failed connections in a row.
     cooldown: Option<(Millis, u32)>,
-    /// Mean duration of a plain request.
-    mean_ms: Option<f64>,
+    /// Time of a plain request until its answer begins.
+    first: MeanTime,
+    /// Time of a plain request until its end.
+    whole: MeanTime,
+    /// Requests that may still run as trials: a share of those that would have been refused.
+    trials: f64,
+}
+
+/// Moving mean of measured times, in which the newer ones count more.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanTime {
+    /// The mean and the time of the last sample.
+    mean: Option<(f64, Millis)>,
+}
+
+impl MeanTime {
+    fn add(&mut self, took_ms: f64, now: Millis) {
+        let mean = self.mean.map_or(took_ms, |(mean, at)| {
+            let age_ms = millis(Millis(now.since(at)));
+            let weight = MEAN_WEIGHT.max(1.0 - (-age_ms / MEAN_SPAN_MS).exp());
+            mean + (took_ms - mean) * weight
+        });
+        self.mean = Some((mean, now));
+    }
+
+    /// Returns the mean unless its last sample is too old.
+    fn get(&self, now: Millis) -> Option<f64> {
+        let fresh = self.mean.filter(|(_, at)| now.since(*at) < MEAN_TTL.0);
+        fresh.map(|(mean, _)| mean)
+    }
 }
 
 /// Outcome of a selection.
@@ -378,7 +413,7 @@
             return Choice::NoEndpoint;
         };
         let limit = millis(need.goal_left) * self.options.goal_share;
-        if estimate_ms > limit {
+        if estimate_ms > limit && (need.engine || !self.take_trial(endpoint, need, now)) {
             let over = estimate_ms - limit;
             return Choice::Full {
                 estimate_ms,
@@ -392,6 +427,21 @@
         }
     }
 
+    /// Decides whether a plain request that would be refused by measured times runs as a trial.
+    ///
+    /// Trials are at most [`TRIAL_SHARE`] of such requests, half of that for requests that may run
+    /// once only, and run alone at an endpoint, so that they take no place from other requests.
+    fn take_trial(&mut self, endpoint: &Endpoint, need: &Need, now: Millis) -> bool {
+        let load = self.loads.entry(endpoint.name.clone()).or_default();
+        let needed = if need.once { 2.0 } else { 1.0 };
+        load.trials = (load.trials + TRIAL_SHARE).min(MAX_TRIALS);
+        if load.trials < needed || load.total(now).0 > 0.0 {
+            return false;
+        }
+        load.trials -= needed;
+        true
+    }
+
     /// Sets the number of nodes that send requests to the endpoints, including this one.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = nodes.max(1);
@@ -432,7 +482,7 @@
         let weight = |endpoint: &Endpoint| {
             let load = self.loads.get(&endpoint.name);
             let running = load.map_or(0.0, |load| load.total(now).0);
-            let mean_ms = load.and_then(|load| load.mean_ms);
+            let mean_ms = load.and_then(|load| load.whole.get(now));
             let slots = f64::from(endpoint.slots.max(1));
             let mean_ms = mean_ms.unwrap_or(self.options.plain_ms).max(1.0);
             slots / (mean_ms * (1.0 + running / slots))
@@ -478,9 +528,11 @@
             let first = model.first_event_ms(uncached, prefill_tokens, running) + wait;
             (first, uncached / model.prefill_rate + running, cached)
         } else {
-            let mean = load.mean_ms.unwrap_or(options.plain_ms);
+            let whole = load.whole.get(now).unwrap_or(options.plain_ms);
+            let first = load.first.get(now).unwrap_or(options.plain_ms);
             let rounds = ((running + 1.0) / f64::from(endpoint.slots.max(1))).max(1.0);
-            (mean * rounds, mean * running / 100.0, 0)
+            let wait = whole * (rounds - 1.0);
+            (first + wait, whole * running / 100.0, 0)
         };
         let silent = if load.silent(options.silence_limit, now) {
             SILENT_PENALTY_MS
@@ -547,6 +599,7 @@
                 output,
                 last_event: None,
                 estimate_ms,
+                engine: need.engine,
                 queue: (need.engine && !need.retry).then_some(queue),
             },
         );
@@ -596,8 +649,13 @@
         self.endpoint_heard(endpoint, now);
         let load = self.loads.get_mut(endpoint);
         if let Some(attempt) = load.and_then(|load| load.attempts.get_mut(&attempt)) {
-            attempt.last_event = Some(now);
+            let is_first = attempt.last_event.replace(now).is_none();
             attempt.prefill_tokens = 0.0;
+            let took_ms = millis(Millis(now.since(attempt.sent)));
+            let is_sample = is_first && !attempt.engine;
+            if is_sample && let Some(load) = self.loads.get_mut(endpoint) {
+                load.first.add(took_ms, now);
+            }
         }
     }
 
@@ -701,8 +759,7 @@
         };
         if answered && attempt.output == 0.0 {
             let took = millis(Millis(now.since(attempt.sent)));
-            let mean = load.mean_ms.unwrap_or(took);
-            load.mean_ms = Some(mean + (took - mean) * MEAN_WEIGHT);
+            load.whole.add(took, now);
         }
     }
 
@@ -770,9 +827,20 @@
 /// Number of home endpoints of a prefix: the second takes over when the first is busy or gone.
 const HOME_ENDPOINTS: usize = 2;
 
-/// Weight of a new measurement in a moving mean.
+/// Minimum weight of a new measurement in a moving mean.
 const MEAN_WEIGHT: f64 = 0.05;
 
+/// Time constant with which a mean loses weight against a new measurement.
+const MEAN_SPAN_MS: f64 = 2000.0;
+
+/// Time after which a mean without a new measurement no longer counts.
+const MEAN_TTL: Millis = Millis(10_000);
+
+/// Share of the requests that would be refused by measured times that run as trials, and the maximum
+/// number of trials that are saved up.
+const TRIAL_SHARE: f64 = 0.1;
+const MAX_TRIALS: f64 = 2.0;
+
 /// Added to the score of a silent endpoint, so that it is ranked last.
 const SILENT_PENALTY_MS: f64 = 10_000.0;
 
--- a/crates/cumin-entry/tests/all/selection.rs
+++ b/crates/cumin-entry/tests/all/selection.rs
@@ -275,3 +275,97 @@
     let (asked, in_time) = play_plain(300.0);
     assert!(in_time * 100 >= asked * 97, "{in_time} of {asked}");
 }
+
+/// A request of a plain service.
+fn plain_need(once: bool) -> Need {
+    Need {
+        goal_left: Millis(300),
+        time_left: Millis(1500),
+        once,
+        ..Need::default()
+    }
+}
+
+/// Sends a plain request each 100 ms from `from` to `until` to an endpoint that answers within
+/// `took_ms`; returns how many were sent and how many were refused.
+fn play_spell(selector: &mut Selector, times: (u64, u64), took_ms: u64, once: bool) -> (u32, u32) {
+    let fleet = fleet(1);
+    let (mut sent, mut refused) = (0, 0);
+    let mut running = Vec::new();
+    for now in (times.0..times.1).step_by(100).map(Millis) {
+        running.retain(|(endpoint, attempt, end): &(EndpointName, u64, Millis)| {
+            if *end <= now {
+                selector.answer_begun(endpoint, *attempt, *end);
+                selector.attempt_ended(endpoint, *attempt, true, *end);
+            }
+            *end > now
+        });
+        let need = plain_need(once);
+        match selector.choose(&fleet, &engines(), &need, &[], now) {
+            Choice::Use {
+                endpoint,
+                estimate_ms,
+                ..
+            } => {
+                let found = fleet.get(&endpoint).expect("it is registered");
+                let attempt = selector.attempt_sent(found, &need, 0, estimate_ms, now);
+                running.push((endpoint, attempt, now.plus(took_ms)));
+                sent += 1;
+            }
+            Choice::Full { .. } => refused += 1,
+            Choice::NoEndpoint => panic!("the endpoint is there"),
+        }
+    }
+    for (endpoint, attempt, end) in running {
+        selector.answer_begun(&endpoint, attempt, end);
+        selector.attempt_ended(&endpoint, attempt, true, end);
+    }
+    (sent, refused)
+}
+
+/// After a slow spell, all requests of a plain service were refused for good: only answers moved the
+/// mean by which they were refused (review, case 2).
+#[test]
+fn slow_spell() {
+    for once in [false, true] {
+        let mut selector = selector();
+        play_spell(&mut selector, (0, 3000), 100, once);
+        let (sent, refused) = play_spell(&mut selector, (3000, 23_000), 600, once);
+        assert!(refused > 100, "{refused} are refused while it is slow");
+        assert!(sent < refused, "{sent} are sent while it is slow");
+        play_spell(&mut selector, (23_000, 29_000), 100, once);
+        let (_, refused) = play_spell(&mut selector, (29_000, 32_000), 100, once);
+        assert_eq!(refused, 0, "after it was slow; may run once only: {once}");
+    }
+}
+
+/// Without a trial, and at any rate of requests, a measured time stops counting.
+#[test]
+fn old_mean() {
+    let mut selector = selector();
+    let slow = |selector: &mut Selector| play_spell(selector, (0, 5000), 2000, false);
+    let (_, refused) = slow(&mut selector);
+    assert!(refused > 0);
+    let need = plain_need(true);
+    let chosen = selector.choose(&fleet(1), &engines(), &need, &[], Millis(60_000));
+    assert!(matches!(chosen, Choice::Use { .. }), "{chosen:?}");
+}
+
+/// A streaming route to a service without a model of engines was refused for good, because the time
+/// of whole streams was compared with the goal of the first event (review, random run).
+#[test]
+fn plain_stream() {
+    let (mut selector, fleet) = (selector(), fleet(1));
+    let need = plain_need(false);
+    for number in 0..50 {
+        let now = Millis(number * 1000);
+        let chosen = selector.choose(&fleet, &engines(), &need, &[], now);
+        let Choice::Use { endpoint, .. } = chosen else {
+            panic!("stream {number}: {chosen:?}");
+        };
+        let found = fleet.get(&endpoint).expect("it is registered");
+        let attempt = selector.attempt_sent(found, &need, 0, 50.0, now);
+        selector.answer_begun(&endpoint, attempt, now.plus(40));
+        selector.attempt_ended(&endpoint, attempt, true, now.plus(900));
+    }
+}
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -169,6 +169,7 @@
             time_left: Millis(self.deadline.since(now)),
             engine,
             retry: false,
+            once: !self.route.kind.is_repeatable(),
         }
     }
 
