Test that a copy on a reused connection does not answer a request without an identifier

late_copy counts connections only. copy_on_reuse has an endpoint that sends its first answer again for each request on a connection, and compares the bodies.

--- a/crates/cumin-serve/tests/all/unnamed_requests.rs
+++ b/crates/cumin-serve/tests/all/unnamed_requests.rs
@@ -1,6 +1,12 @@
 //! Requests without an identifier, whose answers can be told apart by their connection only.
 
-use crate::support::{Endpoint, Entry, Step, answer, body, request, run, send};
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::support::{Endpoint, Entry, Step, answer, body, read_request, request, run, send};
 
 fn unnamed(body: &str) -> String {
     request("POST", "/unsafe/x", "", body).replace("X-Attempt-Id: abc123\r\n", "")
@@ -51,6 +57,37 @@
     });
 }
 
+/// An endpoint sends a copy of its first answer again when the next request on that connection
+/// arrives; a request without an identifier would take it for its answer.
+#[test]
+fn copy_on_reuse() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let entry = Entry::start(&[], &[]).await;
+        entry.register("plain-1", "plain", listener.local_addr().unwrap());
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                actix_rt::spawn(async move {
+                    let mut copy = None;
+                    while let Some(received) = read_request(&mut stream).await {
+                        let body = String::from_utf8(received.body).unwrap();
+                        let text = copy.get_or_insert(format!(
+                            "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: {}\r\n\r\n{body}",
+                            body.len()
+                        ));
+                        stream.write_all(text.as_bytes()).await.unwrap();
+                    }
+                });
+            }
+        });
+        sleep(Duration::from_millis(200)).await;
+        for expected in ["first", "second", "third"] {
+            let got = send(entry.callers, &unnamed(expected)).await;
+            assert_eq!(body(&got), expected, "{got}");
+        }
+    });
+}
+
 /// Returns the number of connections that the entry has opened to endpoints.
 async fn connections(entry: &Entry) -> u64 {
     let text = crate::support::metrics(entry).await;
