Move Reply to a module of its own

Reply alone knows what a caller was promised; a module keeps its progress out of reach of the code that reads requests. No change of behaviour.

--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -12,10 +12,11 @@
 use cumin_entry::suspects::{Admission, Fingerprint, Quarantined, Suspicion};
 use cumin_types::{Millis, Service, score};
 
-use crate::caller::{Inbound, Reply, ReplyEnd};
+use crate::caller::Inbound;
 use crate::crash;
 use crate::metrics::ReasonLabel;
 use crate::node::Node;
+use crate::reply::{Reply, ReplyEnd};
 use crate::request::ActiveRequest;
 
 /// Time before the bound on removed keys at which keys are refused if the document was not
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -13,12 +13,12 @@
 use cumin_types::{EndpointName, Millis, Organisation};
 use tokio::time::Instant;
 
-use crate::caller::{Reply, ReplyEnd};
 use crate::crash;
 use crate::events::EventSplitter;
 use crate::leaving;
 use crate::limit;
 use crate::node::Node;
+use crate::reply::{Reply, ReplyEnd};
 use crate::request::{ActiveRequest, seconds};
 use cumin_http::connection::{Answer, AnswerError, Connection, Outbound};
 
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -20,6 +20,7 @@
 mod node;
 mod quarantine;
 mod relay;
+mod reply;
 mod request;
 pub mod sink;
 mod stop;
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -20,11 +20,12 @@
     quarantine_detail, refuse,
 };
 use crate::attempt::AttemptEnd;
-use crate::caller::{Inbound, Reply, ReplyEnd};
+use crate::caller::Inbound;
 use crate::crash;
 use crate::events::EventSplitter;
 use crate::metrics::{ReasonLabel, RequestLabels};
 use crate::node::Node;
+use crate::reply::{Reply, ReplyEnd};
 
 /// Number of failed connections after which a request gives up.
 const MAX_FAILED_CONNECTIONS: usize = 4;
