--- a/crates/cumin-entry/src/limits.rs
+++ b/crates/cumin-entry/src/limits.rs
@@ -17,14 +17,17 @@
 //!   shares start at different levels, so that they do not become due together.
 //! * An endpoint whose limit is close to zero: it still gets a request now and then, since only its
 //!   answers tell that the limit has ended.
-//! * Many requests that wait for the time of an endpoint that wanted nothing: [`TRIALS`] of them try
+//! * Many requests that wait for the time of an endpoint that wanted nothing: a few of them try
 //!   first, and the rest follows when one is answered.
 
+mod wait;
+
 use std::collections::BTreeMap;
 
 use cumin_types::{EndpointName, Incarnation, Millis, NodeName, score};
 use serde::{Deserialize, Serialize};
 
+use self::wait::Wait;
 use crate::fleet::{Endpoint, Fleet};
 
 /// Minimum rate in requests a second at which answers are asked for.
@@ -48,13 +51,6 @@
 /// Age at which a statement no longer counts, and time for which the end of a limit is stated.
 const STATEMENT_TTL: Millis = Millis(10_000);
 
-/// Requests that an endpoint which wanted nothing gets until one of them is answered. The users allow
-/// two to arrive early.
-const TRIALS: u32 = 2;
-
-/// Time after which as many more may be sent if none was answered.
-const TRIAL_TIME: Millis = Millis(500);
-
 /// Time for which what an endpoint without a registration wanted is kept. An outage of the store
 /// hides live endpoints for minutes.
 const WAIT_KEEP_TIME: Millis = Millis(600_000);
@@ -131,36 +127,6 @@
     }
 }
 
-/// Time for which an endpoint wants nothing from this node.
-#[derive(Clone, Copy, Debug)]
-struct Wait {
-    until: Millis,
-    /// Time of the answer that stated it.
-    heard: Millis,
-    /// Requests sent since its end, and the time of the last one.
-    trials: (u32, Millis),
-}
-
-impl Wait {
-    /// Returns the time until a request may be sent; zero if it may now.
-    fn left(&self, now: Millis) -> Millis {
-        let (sent, last) = self.trials;
-        if now >= self.until && sent < TRIALS {
-            return Millis(0);
-        }
-        Millis(self.until.max(last.plus(TRIAL_TIME.0)).since(now))
-    }
-
-    /// Counts a request.
-    fn take(&mut self, now: Millis) {
-        let (sent, last) = self.trials;
-        let is_due = now.since(last) >= TRIAL_TIME.0;
-        if now >= self.until {
-            self.trials = (if is_due { 1 } else { sent + 1 }, now);
-        }
-    }
-}
-
 /// Last statement of a peer on an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct PeerUse {
@@ -363,11 +329,7 @@
         if account.pause.is_some_and(|known| known.until >= until) {
             return false;
         }
-        account.pause = Some(Wait {
-            until,
-            heard: now,
-            trials: (0, Millis(0)),
-        });
+        account.pause = Some(Wait::new(until, now));
         true
     }
 
--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -20,12 +20,15 @@
 //! * An endpoint that accepts requests but does not answer: it is ranked last if it has
 //!   unanswered requests and was silent for longer than expected.
 
+mod mean_time;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
 
 use cumin_types::{EndpointName, Millis, Place, Service, score};
 use serde::{Deserialize, Serialize};
 
+use self::mean_time::MeanTime;
 use crate::engine::{Demand, EngineModel};
 use crate::fleet::{Endpoint, Fleet};
 use crate::learn::{Fit, LearnOptions, Learner, Queue};
@@ -218,30 +221,6 @@
     trials: f64,
 }
 
-/// Moving mean of measured times, in which the newer ones count more.
-#[derive(Clone, Copy, Debug, Default)]
-struct MeanTime {
-    /// The mean and the time of the last sample.
-    mean: Option<(f64, Millis)>,
-}
-
-impl MeanTime {
-    fn add(&mut self, took_ms: f64, now: Millis) {
-        let mean = self.mean.map_or(took_ms, |(mean, at)| {
-            let age_ms = millis(Millis(now.since(at)));
-            let weight = MEAN_WEIGHT.max(1.0 - (-age_ms / MEAN_SPAN_MS).exp());
-            mean + (took_ms - mean) * weight
-        });
-        self.mean = Some((mean, now));
-    }
-
-    /// Returns the mean unless its last sample is too old.
-    fn get(&self, now: Millis) -> Option<f64> {
-        let fresh = self.mean.filter(|(_, at)| now.since(*at) < MEAN_TTL.0);
-        fresh.map(|(mean, _)| mean)
-    }
-}
-
 /// Outcome of a selection.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -827,15 +806,6 @@
 /// Number of home endpoints of a prefix: the second takes over when the first is busy or gone.
 const HOME_ENDPOINTS: usize = 2;
 
-/// Minimum weight of a new measurement in a moving mean.
-const MEAN_WEIGHT: f64 = 0.05;
-
-/// Time constant with which a mean loses weight against a new measurement.
-const MEAN_SPAN_MS: f64 = 2000.0;
-
-/// Time after which a mean without a new measurement no longer counts.
-const MEAN_TTL: Millis = Millis(10_000);
-
 /// Share of the requests that would be refused by measured times that run as trials, and the maximum
 /// number of trials that are saved up.
 const TRIAL_SHARE: f64 = 0.1;
--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -10,13 +10,13 @@
 use std::time::Duration;
 
 use cumin_entry::suspects::{Quarantined, Suspect, Suspicion};
+use cumin_http::connection::Connection;
 use cumin_types::{EndpointName, score};
 use tokio::sync::Notify;
 
-use crate::attempt::CONNECT_TIMEOUT;
+use crate::idle::CONNECT_TIMEOUT;
 use crate::node::Node;
 use crate::quarantine;
-use cumin_http::connection::Connection;
 
 /// Maximum time that a retry waits until it is known whether the last endpoint crashed. A refused
 /// connection is known after a round trip.
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -14,6 +14,7 @@
 mod events;
 mod feed;
 mod gossip;
+mod idle;
 mod leaving;
 mod limit;
 mod metrics;
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -20,6 +20,7 @@
 use cumin_entry::stop::Stop;
 use cumin_entry::suspects::Suspects;
 use cumin_entry::usage::Usage;
+use cumin_http::connection::Connection;
 use cumin_types::{
     EndpointName, FencingToken, Incarnation, LogOffset, Millis, Service, WallMillis,
 };
@@ -28,7 +29,6 @@
 
 use crate::crash::Check;
 use crate::metrics::Metrics;
-use cumin_http::connection::Connection;
 
 /// Adapters of the platform that a node runs on.
 pub struct Platform {
--- a/crates/cumin-serve/tests/all/crashing_part.rs
+++ b/crates/cumin-serve/tests/all/crashing_part.rs
@@ -204,19 +204,25 @@
     format!("c{}", number % 8)
 }
 
+/// Starts an entry and its engines, which share a record.
+async fn start_engines() -> (Entry, Rc<Record>) {
+    let entry = Entry::start_bare();
+    let record = Rc::new(Record::default());
+    for number in 0..ENGINE_COUNT {
+        Engine::start(number, entry.store.clone(), record.clone()).await;
+    }
+    entry.publish(&["key"]);
+    entry.wait_ready().await;
+    (entry, record)
+}
+
 /// Requests that shared one prompt part, no two of them alike, crashed engine after engine, because
 /// only equal requests were counted together. Once they are refused, sound requests with the same
 /// key and first part must be served.
 #[test]
 fn no_two_alike() {
     run(async {
-        let entry = Entry::start_bare();
-        let record = Rc::new(Record::default());
-        for number in 0..ENGINE_COUNT {
-            Engine::start(number, entry.store.clone(), record.clone()).await;
-        }
-        entry.publish(&["key"]);
-        entry.wait_ready().await;
+        let (entry, record) = start_engines().await;
         let callers = entry.callers;
         let pause = Duration::from_millis(20);
         let end = Instant::now() + Duration::from_secs(1);
@@ -253,13 +259,7 @@
 #[test]
 fn trial_runs() {
     run(async {
-        let entry = Entry::start_bare();
-        let record = Rc::new(Record::default());
-        for number in 0..ENGINE_COUNT {
-            Engine::start(number, entry.store.clone(), record.clone()).await;
-        }
-        entry.publish(&["key"]);
-        entry.wait_ready().await;
+        let (entry, record) = start_engines().await;
         let pause = Duration::from_millis(20);
         let bad = |_| BAD_PART.into();
         let end = Instant::now() + Duration::from_secs(1);
@@ -282,13 +282,7 @@
 #[test]
 fn reset_check() {
     run(async {
-        let entry = Entry::start_bare();
-        let record = Rc::new(Record::default());
-        for number in 0..ENGINE_COUNT {
-            Engine::start(number, entry.store.clone(), record.clone()).await;
-        }
-        entry.publish(&["key"]);
-        entry.wait_ready().await;
+        let (entry, record) = start_engines().await;
         let pause = Duration::from_millis(200);
         let part = |_| BAD_PART.into();
         record.resets.set(true);
@@ -307,13 +301,7 @@
 #[test]
 fn after_restart() {
     run(async {
-        let entry = Entry::start_bare();
-        let record = Rc::new(Record::default());
-        for number in 0..ENGINE_COUNT {
-            Engine::start(number, entry.store.clone(), record.clone()).await;
-        }
-        entry.publish(&["key"]);
-        entry.wait_ready().await;
+        let (entry, record) = start_engines().await;
         let pause = Duration::from_millis(20);
         let end = Instant::now() + Duration::from_secs(1);
         let bad = |_| BAD_PART.into();
