Keep a node's share when a joining node confirms an older report

Cause: reports that all peers had confirmed were forgotten. Readiness did not show it: "settled" asked only whether a report was confirmed, for the nodes known at the last exchange.

The gauge shares_settled shows it; the process tests wait for it before they start, as callers do by readiness.

shares::older_confirmation fails without the change (share of the floor) and passes. The sum of shares stays within the limit: shares_within_limit and healed_partition_converges are unchanged.

--- a/crates/cumin-admit/src/admission.rs
+++ b/crates/cumin-admit/src/admission.rs
@@ -364,6 +364,13 @@
             .collect()
     }
 
+    /// Returns true while each node in `live` has confirmed the demand of this node, so that its
+    /// shares follow demand.
+    #[must_use]
+    pub fn is_settled(&self, live: &[NodeName]) -> bool {
+        self.shares.is_settled(live)
+    }
+
     /// Returns the numbers of running and of queued requests of a service.
     #[must_use]
     pub fn load(&self, service: &Service) -> (usize, usize) {
--- a/crates/cumin-admit/src/share.rs
+++ b/crates/cumin-admit/src/share.rs
@@ -120,7 +120,8 @@
     options: ShareOptions,
     own_name: NodeName,
     version: u64,
-    /// Claims and versions of the reports of this node, oldest first.
+    /// Claims and versions of the reports of this node, oldest first. Confirmed ones are kept: a peer
+    /// that joins later may confirm an older one than the others.
     history: VecDeque<(u64, Claims)>,
     /// Latest report of each peer and when it was received.
     reports: BTreeMap<NodeName, (DemandReport, Millis)>,
@@ -211,16 +212,7 @@
         self.reports.retain(|name, (_, at)| {
             live_peers.contains_key(name) || now.since(*at) < REPORT_RETENTION_MS
         });
-        if let Some(oldest) = self.oldest_confirmed() {
-            self.confirmed_once = true;
-            while self
-                .history
-                .get(1)
-                .is_some_and(|(version, _)| *version <= oldest)
-            {
-                self.history.pop_front();
-            }
-        }
+        self.confirmed_once |= self.oldest_confirmed().is_some();
     }
 
     /// Returns this node's share of the limits in `quota`, the quota of `org`.
@@ -248,6 +240,22 @@
         }
     }
 
+    /// Returns true while each peer in `live` has confirmed a report of this node. Otherwise this node
+    /// may have no more than its part of the floor.
+    #[must_use]
+    pub fn is_settled<'a>(&self, live: impl IntoIterator<Item = &'a NodeName>) -> bool {
+        let first = self.history.front().map(|(version, _)| *version);
+        let has_confirmed = |name: &NodeName| {
+            let report = self.reports.get(name);
+            let heard = report.and_then(|(report, _)| report.heard.get(&self.own_name));
+            heard.is_some_and(|heard| first.is_some_and(|first| first <= *heard))
+        };
+        self.rebalanced
+            && live
+                .into_iter()
+                .all(|name| *name == self.own_name || has_confirmed(name))
+    }
+
     /// Returns the version of the oldest report of this node that a live peer uses, or `None` if a
     /// peer has confirmed none. A peer without a confirmation is ignored for the join grace if
     /// it joined after this node held a part of the pool.
--- a/crates/cumin-admit/tests/all/shares.rs
+++ b/crates/cumin-admit/tests/all/shares.rs
@@ -238,3 +238,39 @@
         );
     }
 }
+
+/// Guards against a share that falls to the floor when a node that has just joined confirms an
+/// older report than the others have.
+#[test]
+fn older_confirmation() {
+    let mut cluster = Cluster::new(4);
+    let names = cluster.names.clone();
+    let old = vec![names[..3].to_vec(); 3];
+    let mut first = None;
+    for round in 0..5 {
+        for node in 0..3 {
+            let report = cluster.report(node, 500.0);
+            if node == 0 {
+                first.get_or_insert(report.clone());
+            }
+            for to in (0..3).filter(|to| *to != node) {
+                cluster.in_flight.push((0, to, node, report.clone()));
+            }
+        }
+        cluster.deliver(&old, round);
+    }
+    let before = cluster.grant(0);
+    let all = vec![names.clone(); 4];
+    cluster
+        .in_flight
+        .push((0, 3, 0, first.expect("the first report")));
+    cluster.deliver(&all, 100);
+    assert!(!cluster.shares[0].is_settled(&names));
+    let late = cluster.report(3, 0.0);
+    assert_eq!(late.heard.len(), 1);
+    cluster.in_flight.push((0, 0, 3, late));
+    let after_grace = 100 + ShareOptions::default().join_grace.0;
+    cluster.deliver(&all, after_grace);
+    assert!(cluster.shares[0].is_settled(&names));
+    assert!(cluster.grant(0) > 0.9 * before, "{}", cluster.grant(0));
+}
--- a/crates/cumin-node/src/admission.rs
+++ b/crates/cumin-node/src/admission.rs
@@ -22,8 +22,8 @@
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 /// Number of periods between two reports of demand.
 const REPORT_PERIODS: u32 = 20;
-/// Number of periods between two reports during the first [`EARLY_PERIODS`], so that the shares of
-/// the quotas settle soon after the start.
+/// Number of periods between two reports during the first [`EARLY_PERIODS`], and while another node
+/// has not confirmed this node's demand, so that the shares of the quotas settle soon.
 const EARLY_REPORT_PERIODS: u32 = 4;
 /// Number of periods after the start in which reports are more frequent.
 const EARLY_PERIODS: u32 = 40;
@@ -55,10 +55,7 @@
 pub(crate) struct AdmissionControl {
     admission: RefCell<Admission>,
     waiters: RefCell<HashMap<RequestId, oneshot::Sender<Result<Ticket, Dropped>>>>,
-    // Whether every other node has received this node's demand; until then this node has only its
-    // minimum shares.
-    settled: Cell<bool>,
-    // Whether `settled` was true at any time.
+    // Whether the shares of the quotas have followed demand at any time.
     has_settled: Cell<bool>,
     // Number of requests that wait for a quota to refill.
     quota_waits: Cell<usize>,
@@ -99,7 +96,6 @@
         Self {
             admission: RefCell::new(admission),
             waiters: RefCell::default(),
-            settled: Cell::default(),
             has_settled: Cell::default(),
             quota_waits: Cell::default(),
         }
@@ -180,9 +176,12 @@
         self.process_queue(ctx);
     }
 
-    /// Returns true while this node's shares of the quotas follow demand.
-    pub(crate) fn is_settled(&self) -> bool {
-        self.settled.get()
+    /// Returns true while this node's shares of the quotas follow demand: every other node that is
+    /// known now has received this node's demand.
+    pub(crate) fn is_settled(&self, ctx: &Ctx) -> bool {
+        let entries = ctx.members.entries().into_iter();
+        let names: Vec<NodeName> = entries.map(|member| member.name).collect();
+        self.admission.borrow().is_settled(&names)
     }
 
     /// Returns true once [`Self::is_settled`] has been true, also after another node has joined.
@@ -227,7 +226,9 @@
     pub(crate) async fn drive(ctx: Rc<Ctx>) {
         let mut round = 0;
         loop {
-            let interval = if round < EARLY_PERIODS {
+            let settled = ctx.admission.is_settled(&ctx);
+            ctx.metrics.settled.set(settled.into());
+            let interval = if round < EARLY_PERIODS || !settled {
                 EARLY_REPORT_PERIODS
             } else {
                 REPORT_PERIODS
@@ -271,15 +272,9 @@
             .collect();
         let mut admission = self.admission.borrow_mut();
         if ctx.members.is_trusted(now) {
-            let has_own_demand = |name: &NodeName| {
-                let report = reports.iter().find(|(of, _)| of == name);
-                report.is_some_and(|(_, demand)| demand.heard.contains_key(&ctx.settings.name))
-            };
-            let mut others = entries.iter().filter(|name| **name != ctx.settings.name);
-            self.settled.set(others.all(has_own_demand));
-            self.has_settled
-                .set(self.has_settled.get() || self.settled.get());
             admission.rebalance(&reports, &entries, now);
+            let settled = admission.is_settled(&entries);
+            self.has_settled.set(self.has_settled.get() || settled);
         }
         for (service, slots, rate) in ctx.fleet.capacities(&ctx.document()) {
             let node_slots = (slots * OVERCOMMIT).div_ceil(entries.len().max(1));
--- a/crates/cumin-node/src/metrics.rs
+++ b/crates/cumin-node/src/metrics.rs
@@ -28,6 +28,7 @@
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     pub(crate) running: Gauge<i64, AtomicI64>,
+    pub(crate) settled: Gauge<i64, AtomicI64>,
     pub(crate) attempts: Counter,
     pub(crate) tokens: Counter,
     pub(crate) dropped_frames: Counter,
@@ -45,6 +46,7 @@
         let metrics = Self {
             requests: Family::default(),
             running: Gauge::default(),
+            settled: Gauge::default(),
             attempts: Counter::default(),
             tokens: Counter::default(),
             dropped_frames: Counter::default(),
@@ -66,6 +68,12 @@
             "Requests in progress",
             metrics.running.clone(),
         );
+        registry.register(
+            "shares_settled",
+            "1 while every other node has received this node's demand, 0 while its shares of the \
+             quotas are the least",
+            metrics.settled.clone(),
+        );
         for (name, help, counter) in [
             ("attempts", "Attempts sent to endpoints", &metrics.attempts),
             ("tokens", "Tokens accepted from endpoints", &metrics.tokens),
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -261,7 +261,7 @@
     /// Returns true while every other node has received this node's demand.
     #[must_use]
     pub fn is_settled(&self) -> bool {
-        self.ctx.admission.is_settled()
+        self.ctx.admission.is_settled(&self.ctx)
     }
 
     /// Returns the number of requests that this node runs.
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -130,6 +130,11 @@
                 client.refresh().await && client.entries().len() == self.nodes.len()
             })
             .await;
+            wait_until(
+                "a node whose shares of the quotas follow demand",
+                async || gauge(node.entry, "cuminladder_shares_settled").await == 1,
+            )
+            .await;
             wait_until("a node that knows a plain service", async || {
                 let answer = client.call_once(&lookup()).await;
                 answer.is_ok_and(|answer| answer.status == 200)
@@ -247,7 +252,7 @@
         })
         .await;
         for (index, node) in self.nodes.iter().enumerate() {
-            if running_requests(node.entry).await > 0 {
+            if gauge(node.entry, "cuminladder_requests_running").await > 0 {
                 return index;
             }
         }
@@ -294,17 +299,16 @@
     (address(&entry), address(&peer))
 }
 
-/// Reads the number of requests in progress from the metrics of a node.
-async fn running_requests(entry: SocketAddr) -> i64 {
+/// Reads a gauge from the metrics of a node.
+async fn gauge(entry: SocketAddr, name: &str) -> i64 {
     let call = awc::Client::default().get(format!("http://{entry}/metrics"));
     let mut answer = call.send().await.expect("metrics");
     let body = answer.body().await.expect("metrics");
     let text = String::from_utf8_lossy(&body);
     let mut lines = text.lines();
-    let value = lines.find_map(|line| line.strip_prefix("cuminladder_requests_running "));
-    value
-        .and_then(|value| value.parse().ok())
-        .expect("the gauge of requests in progress")
+    let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    let value = value.and_then(|value| value.parse().ok());
+    value.unwrap_or_else(|| panic!("the gauge {name}"))
 }
 
 /// Waits for one polling interval.
