--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -21,6 +21,8 @@
 //!   unanswered requests and was silent for longer than expected.
 
 mod mean_time;
+mod models;
+mod trials;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
@@ -31,7 +33,7 @@
 use self::mean_time::MeanTime;
 use crate::engine::{Demand, EngineModel};
 use crate::fleet::{Endpoint, Fleet};
-use crate::learn::{Fit, LearnOptions, Learner, Queue};
+use crate::learn::{LearnOptions, Learner, Queue};
 
 /// A part of a prompt, which other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -318,9 +320,6 @@
 /// Time for which the load stated by a peer counts: four of its digests.
 const PEER_LOAD_TTL: Millis = Millis(1000);
 
-/// One gap between events in this many is a sample; consecutive ones say the same.
-const GAPS_PER_SAMPLE: u32 = 8;
-
 /// Maximum number of parts that wait for the next digest.
 const MAX_SENT_PARTS: usize = 64;
 
@@ -406,21 +405,6 @@
         }
     }
 
-    /// Decides whether a plain request that would be refused by measured times runs as a trial.
-    ///
-    /// Trials are at most [`TRIAL_SHARE`] of such requests, half of that for requests that may run
-    /// once only, and run alone at an endpoint, so that they take no place from other requests.
-    fn take_trial(&mut self, endpoint: &Endpoint, need: &Need, now: Millis) -> bool {
-        let load = self.loads.entry(endpoint.name.clone()).or_default();
-        let needed = if need.once { 2.0 } else { 1.0 };
-        load.trials = (load.trials + TRIAL_SHARE).min(MAX_TRIALS);
-        if load.trials < needed || load.total(now).0 > 0.0 {
-            return false;
-        }
-        load.trials -= needed;
-        true
-    }
-
     /// Sets the number of nodes that send requests to the endpoints, including this one.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = nodes.max(1);
@@ -638,90 +622,6 @@
         }
     }
 
-    /// Records the first event of a stream of a service.
-    pub fn stream_begun(
-        &mut self,
-        service: &Service,
-        endpoint: &EndpointName,
-        attempt: AttemptNumber,
-        now: Millis,
-    ) {
-        let load = self.loads.get(endpoint);
-        let sample = load
-            .and_then(|load| load.attempts.get(&attempt))
-            .and_then(|attempt| Some((attempt.queue?, now.since(attempt.sent))));
-        if let Some((queue, took_ms)) = sample {
-            let learner = self.learner(service);
-            learner.first_event(queue, millis(Millis(took_ms)), now);
-        }
-        self.answer_begun(endpoint, attempt, now);
-    }
-
-    /// Records further events of a stream, which hold `output_tokens` tokens together.
-    pub fn events_heard(
-        &mut self,
-        service: &Service,
-        endpoint: &EndpointName,
-        attempt: AttemptNumber,
-        output_tokens: u32,
-        now: Millis,
-    ) {
-        let Some(load) = self.loads.get_mut(endpoint) else {
-            return;
-        };
-        let (running, _) = load.total(now);
-        let Some(attempt) = load.attempts.get_mut(&attempt) else {
-            return;
-        };
-        let last = attempt.last_event.replace(now);
-        self.gaps_seen = self.gaps_seen.wrapping_add(1);
-        if self.gaps_seen.is_multiple_of(GAPS_PER_SAMPLE)
-            && let Some(last) = last
-            && output_tokens > 0
-        {
-            let token_ms = millis(Millis(now.since(last))) / f64::from(output_tokens);
-            self.learner(service).event_gap(running, token_ms, now);
-        }
-    }
-
-    fn learner(&mut self, service: &Service) -> &mut Learner {
-        let options = &self.options.learn;
-        self.learners
-            .entry(service.clone())
-            .or_insert_with(|| Learner::new(options.clone()))
-    }
-
-    /// Returns the model of a service's engines.
-    #[must_use]
-    pub fn model(&self, service: &Service) -> &EngineModel {
-        let learner = self.learners.get(service);
-        learner.map_or(&self.prior, Learner::model)
-    }
-
-    /// Returns this node's own fits, for digests.
-    #[must_use]
-    pub fn own_fits(&self) -> Vec<(Service, Fit)> {
-        let learners = self.learners.iter();
-        learners
-            .map(|(service, learner)| (service.clone(), learner.own()))
-            .filter(|(_, fit)| fit.firsts > 0 || fit.gaps > 0)
-            .collect()
-    }
-
-    /// Merges the fits that a peer states.
-    pub fn merge_fits(&mut self, node: &str, fits: &[(Service, Fit)], now: Millis) {
-        for (service, fit) in fits {
-            self.learner(service).merge_peer(node, *fit, now);
-        }
-    }
-
-    /// Recomputes the models from the fits of all nodes.
-    pub fn combine_fits(&mut self, now: Millis) {
-        for learner in self.learners.values_mut() {
-            learner.combine(now);
-        }
-    }
-
     /// Removes an attempt that has ended; `answered` says whether it was answered in full.
     pub fn attempt_ended(
         &mut self,
@@ -806,11 +706,6 @@
 /// Number of home endpoints of a prefix: the second takes over when the first is busy or gone.
 const HOME_ENDPOINTS: usize = 2;
 
-/// Share of the requests that would be refused by measured times that run as trials, and the maximum
-/// number of trials that are saved up.
-const TRIAL_SHARE: f64 = 0.1;
-const MAX_TRIALS: f64 = 2.0;
-
 /// Added to the score of a silent endpoint, so that it is ranked last.
 const SILENT_PENALTY_MS: f64 = 10_000.0;
 
--- /dev/null
+++ b/crates/cumin-entry/src/selection/models.rs
@@ -0,0 +1,96 @@
+//! Models of the engines of services, as learned from the answers of attempts.
+
+use cumin_types::{EndpointName, Millis, Service};
+
+use super::{AttemptNumber, Selector, millis};
+use crate::engine::EngineModel;
+use crate::learn::{Fit, Learner};
+
+/// One gap between events in this many is a sample; consecutive ones say the same.
+const GAPS_PER_SAMPLE: u32 = 8;
+
+impl Selector {
+    /// Records the first event of a stream of a service.
+    pub fn stream_begun(
+        &mut self,
+        service: &Service,
+        endpoint: &EndpointName,
+        attempt: AttemptNumber,
+        now: Millis,
+    ) {
+        let load = self.loads.get(endpoint);
+        let sample = load
+            .and_then(|load| load.attempts.get(&attempt))
+            .and_then(|attempt| Some((attempt.queue?, now.since(attempt.sent))));
+        if let Some((queue, took_ms)) = sample {
+            let learner = self.learner(service);
+            learner.first_event(queue, millis(Millis(took_ms)), now);
+        }
+        self.answer_begun(endpoint, attempt, now);
+    }
+
+    /// Records further events of a stream, which hold `output_tokens` tokens together.
+    pub fn events_heard(
+        &mut self,
+        service: &Service,
+        endpoint: &EndpointName,
+        attempt: AttemptNumber,
+        output_tokens: u32,
+        now: Millis,
+    ) {
+        let Some(load) = self.loads.get_mut(endpoint) else {
+            return;
+        };
+        let (running, _) = load.total(now);
+        let Some(attempt) = load.attempts.get_mut(&attempt) else {
+            return;
+        };
+        let last = attempt.last_event.replace(now);
+        self.gaps_seen = self.gaps_seen.wrapping_add(1);
+        if self.gaps_seen.is_multiple_of(GAPS_PER_SAMPLE)
+            && let Some(last) = last
+            && output_tokens > 0
+        {
+            let token_ms = millis(Millis(now.since(last))) / f64::from(output_tokens);
+            self.learner(service).event_gap(running, token_ms, now);
+        }
+    }
+
+    pub(super) fn learner(&mut self, service: &Service) -> &mut Learner {
+        let options = &self.options.learn;
+        self.learners
+            .entry(service.clone())
+            .or_insert_with(|| Learner::new(options.clone()))
+    }
+
+    /// Returns the model of a service's engines.
+    #[must_use]
+    pub fn model(&self, service: &Service) -> &EngineModel {
+        let learner = self.learners.get(service);
+        learner.map_or(&self.prior, Learner::model)
+    }
+
+    /// Returns this node's own fits, for digests.
+    #[must_use]
+    pub fn own_fits(&self) -> Vec<(Service, Fit)> {
+        let learners = self.learners.iter();
+        learners
+            .map(|(service, learner)| (service.clone(), learner.own()))
+            .filter(|(_, fit)| fit.firsts > 0 || fit.gaps > 0)
+            .collect()
+    }
+
+    /// Merges the fits that a peer states.
+    pub fn merge_fits(&mut self, node: &str, fits: &[(Service, Fit)], now: Millis) {
+        for (service, fit) in fits {
+            self.learner(service).merge_peer(node, *fit, now);
+        }
+    }
+
+    /// Recomputes the models from the fits of all nodes.
+    pub fn combine_fits(&mut self, now: Millis) {
+        for learner in self.learners.values_mut() {
+            learner.combine(now);
+        }
+    }
+}
