Try a fit of engine rates that no admitted request confirms

Cause: the node's own fit had no age. When all engines of a service were slow for long enough, the fit refused every request as full, refused requests bring no samples, and the service stayed refused after its engines were sound. A node without requests also stated its old fit to its peers for good.

Change: a fit is in doubt 10 s after the last first event of an admitted request. It is then not stated and yields to fresh fits of peers. If no peer has one, one in ten of the requests that the model alone refuses (one in twenty if it may run once only, and one each 10 s in any case) runs as a trial in a free slot where no prompt is prefilled. The first trial that is in time refutes all earlier samples. Nothing changes at nodes at which admitted requests are answered at least every 10 s. A node without them leaves its own fit out of the median, and one that starts while a service is idle begins with the prior.

--- a/crates/cumin-entry/src/learn.rs
+++ b/crates/cumin-entry/src/learn.rs
@@ -8,6 +8,11 @@
 //!
 //! A node states its fit in its digests. Every node uses the median of the stated fits, weighted by
 //! their samples, so a node that starts does not need samples of its own.
+//!
+//! Load pattern: all engines are slow for a while. The fits then lead to refusals, and refused
+//! requests bring no samples. A fit without a recent sample of an admitted request is therefore in
+//! doubt: it is not stated, and yields to fresh fits of peers. If there are none, a small share of
+//! the refused requests runs as trials. One that is answered in time refutes the fit.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -15,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::EngineModel;
+use crate::trials::Trials;
 
 /// Settings of [`Learner`].
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +41,9 @@
     pub max_time: Millis,
     /// Time for which a peer's fit counts.
     pub peer_ttl: Millis,
+    /// Time after the last sample of an admitted request from which fits are in doubt, and time
+    /// between trials in any case.
+    pub max_age: Millis,
 }
 
 impl Default for LearnOptions {
@@ -48,6 +57,7 @@
             gap_quantile: 0.3,
             max_time: Millis(30_000),
             peer_ttl: Millis(10_000),
+            max_age: Millis(10_000),
         }
     }
 }
@@ -112,6 +122,13 @@
     /// Samples since the last fit.
     fresh: u32,
     own: Fit,
+    /// Time of the last first event of a request that was admitted by its estimate.
+    confirmed: Option<Millis>,
+    /// Whether a trial has refuted the samples before it, and none was confirmed since.
+    refuted: bool,
+    trials: Trials,
+    /// Time of the last trial.
+    tried: Option<Millis>,
     peers: BTreeMap<String, (Fit, Millis)>,
     model: EngineModel,
 }
@@ -127,6 +144,10 @@
             gaps: VecDeque::new(),
             fresh: 0,
             own: Fit::default(),
+            confirmed: None,
+            refuted: false,
+            trials: Trials::default(),
+            tried: None,
             peers: BTreeMap::new(),
         }
     }
@@ -143,13 +164,70 @@
         self.own
     }
 
+    /// Returns this node's own fit if it may be stated to peers: it has samples, and is not in doubt.
+    #[must_use]
+    pub fn stated(&self, now: Millis) -> Option<Fit> {
+        let has_samples = self.own.firsts > 0 || self.own.gaps > 0;
+        (has_samples && self.is_confirmed(now)).then_some(self.own)
+    }
+
+    fn is_confirmed(&self, now: Millis) -> bool {
+        let max_age = self.options.max_age.0;
+        self.confirmed.is_some_and(|at| now.since(at) < max_age)
+    }
+
+    /// Decides whether a request that the model alone refuses runs as a trial.
+    ///
+    /// None does while admitted requests are answered at this node or a peer. Otherwise trials are a
+    /// share of the requests, and one for each [`LearnOptions::max_age`] in any case.
+    pub fn take_trial(&mut self, once: bool, now: Millis) -> bool {
+        let max_age = self.options.max_age.0;
+        let mut peers = self.peers.values();
+        if self.is_confirmed(now) || peers.any(|(_, heard)| now.since(*heard) < max_age) {
+            return false;
+        }
+        self.trials.earn();
+        let last = *self.tried.get_or_insert(now);
+        let is_trial = self.trials.take(once) || now.since(last) >= max_age;
+        if is_trial {
+            self.tried = Some(now);
+        }
+        is_trial
+    }
+
+    /// Adds the time that a trial took to its first event, which came in time. The first one refutes
+    /// all earlier samples.
+    ///
+    /// Late trials are no samples: they confirm the refusal, and prompts that are too long for any
+    /// engine would say little of shorter ones.
+    pub fn trial_in_time(&mut self, queue: Queue, took_ms: f64, now: Millis) {
+        if !self.refuted {
+            self.refuted = true;
+            self.firsts.clear();
+            self.gaps.clear();
+            self.own = Fit::default();
+            self.combine(now);
+        }
+        self.add_first(queue, took_ms, now);
+    }
+
     /// Adds the time that a request took to its first event. Impossible samples are ignored.
     pub fn first_event(&mut self, queue: Queue, took_ms: f64, now: Millis) {
-        if queue.tokens >= 1.0 && queue.running >= 0.0 && self.is_possible(took_ms) {
+        if self.add_first(queue, took_ms, now) {
+            self.confirmed = Some(now);
+            self.refuted = false;
+        }
+    }
+
+    /// Adds a sample and returns whether it is possible.
+    fn add_first(&mut self, queue: Queue, took_ms: f64, now: Millis) -> bool {
+        let is_valid = queue.tokens >= 1.0 && queue.running >= 0.0 && self.is_possible(took_ms);
+        if is_valid {
             let sample = (queue, took_ms);
             push_bounded(&mut self.firsts, sample, self.options.max_samples);
             self.sampled(now);
         }
+        is_valid
     }
 
     /// Adds the mean time of the tokens of one event. Impossible samples are ignored.
@@ -188,10 +266,13 @@
     pub fn combine(&mut self, now: Millis) {
         let ttl = self.options.peer_ttl.0;
         self.peers.retain(|_, (_, heard)| now.since(*heard) < ttl);
-        let fits = || self.peers.values().map(|(fit, _)| fit).chain([&self.own]);
+        let confirmed = self.is_confirmed(now).then_some(&self.own);
+        let peers = || self.peers.values().map(|(fit, _)| fit);
         let median = |weight: fn(&Fit) -> u32, value: fn(&Fit) -> f32| {
-            let pairs = fits().map(|fit| (f64::from(value(fit)), weight(fit)));
-            weighted_median(pairs.collect(), self.options.min_samples)
+            let pair = |fit: &Fit| (f64::from(value(fit)), weight(fit));
+            let fresh = peers().chain(confirmed).map(pair).collect();
+            let min = self.options.min_samples;
+            weighted_median(fresh, min).or_else(|| weighted_median(vec![pair(&self.own)], min))
         };
         let prior = &self.options.prior;
         let rate = median(|fit| fit.firsts, |fit| fit.prefill_ms).map(|ms| 1000.0 / ms);
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod settings;
 pub mod stop;
 pub mod suspects;
+mod trials;
 pub mod usage;
--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -14,9 +14,10 @@
 //!   load keeps the nodes from using the same endpoint at the same time.
 //! * Overload: a request whose first event would come after its goal is refused at once, with the
 //!   time after which it may be retried.
-//! * A slow spell of all endpoints of a plain service: its measured times lead to refusals, and only
+//! * A slow spell of all endpoints of a service: its measured times lead to refusals, and only
 //!   answers bring new ones. A small share of the requests that would be refused therefore runs as
-//!   trials, and a time that was measured long ago does not count.
+//!   trials. For a plain service, a time that was measured long ago does not count; for engines, a
+//!   trial that is answered in time refutes what was measured.
 //! * An endpoint that accepts requests but does not answer: it is ranked last if it has
 //!   unanswered requests and was silent for longer than expected.
 
@@ -34,6 +35,7 @@
 use crate::engine::{Demand, EngineModel};
 use crate::fleet::{Endpoint, Fleet};
 use crate::learn::{LearnOptions, Learner, Queue};
+use crate::trials::Trials;
 
 /// A part of a prompt, which other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,6 +153,8 @@
     engine: bool,
     /// What it found at the engine, unless its times are no sample.
     queue: Option<Queue>,
+    /// Time to the goal if it is a trial.
+    trial_goal: Option<f64>,
 }
 
 /// Load that one node puts on an endpoint.
@@ -220,7 +224,7 @@
     /// Time of a plain request until its end.
     whole: MeanTime,
     /// Requests that may still run as trials: a share of those that would have been refused.
-    trials: f64,
+    trials: Trials,
 }
 
 /// Outcome of a selection.
@@ -391,7 +395,7 @@
             return Choice::NoEndpoint;
         };
         let limit = millis(need.goal_left) * self.options.goal_share;
-        if estimate_ms > limit && (need.engine || !self.take_trial(endpoint, need, now)) {
+        if estimate_ms > limit && !self.take_trial(endpoint, need, now) {
             let over = estimate_ms - limit;
             return Choice::Full {
                 estimate_ms,
@@ -517,6 +521,7 @@
         now: Millis,
     ) -> AttemptNumber {
         self.next += 1;
+        let trial_goal = self.trial_goal(need, estimate_ms);
         let capacity = tokens(memory_tokens) * self.options.cached_share;
         let load = self.loads.entry(endpoint.name.clone()).or_default();
         if load.started_ms != endpoint.started_ms {
@@ -564,6 +569,7 @@
                 estimate_ms,
                 engine: need.engine,
                 queue: (need.engine && !need.retry).then_some(queue),
+                trial_goal,
             },
         );
         if need.engine {
--- a/crates/cumin-entry/src/selection/models.rs
+++ b/crates/cumin-entry/src/selection/models.rs
@@ -21,10 +21,16 @@
         let load = self.loads.get(endpoint);
         let sample = load
             .and_then(|load| load.attempts.get(&attempt))
-            .and_then(|attempt| Some((attempt.queue?, now.since(attempt.sent))));
-        if let Some((queue, took_ms)) = sample {
+            .and_then(|attempt| Some((attempt.queue?, attempt)));
+        if let Some((queue, attempt)) = sample {
+            let took_ms = millis(Millis(now.since(attempt.sent)));
+            let trial_goal = attempt.trial_goal;
             let learner = self.learner(service);
-            learner.first_event(queue, millis(Millis(took_ms)), now);
+            match trial_goal {
+                Some(goal_ms) if took_ms <= goal_ms => learner.trial_in_time(queue, took_ms, now),
+                Some(_) => {}
+                None => learner.first_event(queue, took_ms, now),
+            }
         }
         self.answer_begun(endpoint, attempt, now);
     }
@@ -70,13 +76,12 @@
         learner.map_or(&self.prior, Learner::model)
     }
 
-    /// Returns this node's own fits, for digests.
+    /// Returns this node's own fits that are not in doubt, for digests.
     #[must_use]
-    pub fn own_fits(&self) -> Vec<(Service, Fit)> {
+    pub fn own_fits(&self, now: Millis) -> Vec<(Service, Fit)> {
         let learners = self.learners.iter();
         learners
-            .map(|(service, learner)| (service.clone(), learner.own()))
-            .filter(|(_, fit)| fit.firsts > 0 || fit.gaps > 0)
+            .filter_map(|(service, learner)| Some((service.clone(), learner.stated(now)?)))
             .collect()
     }
 
--- a/crates/cumin-entry/src/selection/trials.rs
+++ b/crates/cumin-entry/src/selection/trials.rs
@@ -2,27 +2,30 @@
 
 use cumin_types::Millis;
 
-use super::{Need, Selector};
+use super::{Need, Selector, millis};
 use crate::fleet::Endpoint;
 
-/// Share of the requests that would be refused by measured times that run as trials, and the maximum
-/// number of trials that are saved up.
-const TRIAL_SHARE: f64 = 0.1;
-const MAX_TRIALS: f64 = 2.0;
-
 impl Selector {
-    /// Decides whether a plain request that would be refused by measured times runs as a trial.
+    /// Decides whether a request that would be refused by measured times runs as a trial.
     ///
-    /// Trials are at most [`TRIAL_SHARE`] of such requests, half of that for requests that may run
-    /// once only, and run alone at an endpoint, so that they take no place from other requests.
+    /// Trials take no place from other requests: one of a plain service runs alone at its endpoint,
+    /// and one of an engine in a free slot while no other prompt is prefilled there.
     pub(super) fn take_trial(&mut self, endpoint: &Endpoint, need: &Need, now: Millis) -> bool {
         let load = self.loads.entry(endpoint.name.clone()).or_default();
-        let needed = if need.once { 2.0 } else { 1.0 };
-        load.trials = (load.trials + TRIAL_SHARE).min(MAX_TRIALS);
-        if load.trials < needed || load.total(now).0 > 0.0 {
-            return false;
+        let (running, prefill_tokens) = load.total(now);
+        if need.engine {
+            let is_free = running < f64::from(endpoint.slots) && prefill_tokens == 0.0;
+            let learner = self.learner(&endpoint.service);
+            return is_free && !need.retry && learner.take_trial(need.once, now);
         }
-        load.trials -= needed;
-        true
+        load.trials.earn();
+        running == 0.0 && load.trials.take(need.once)
+    }
+
+    /// Returns the time until the goal of a request whose estimate exceeds it, which only a trial's
+    /// does.
+    pub(super) fn trial_goal(&self, need: &Need, estimate_ms: f64) -> Option<f64> {
+        let goal_ms = millis(need.goal_left) * self.options.goal_share;
+        (estimate_ms > goal_ms).then_some(goal_ms)
     }
 }
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod outage;
 mod quota;
+mod recovery;
 mod relay;
 mod retry_after;
 mod scale;
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -157,7 +157,7 @@
     #[expect(clippy::cast_possible_truncation, reason = "digests carry few digits")]
     let output = demand.map(|(service, demand)| (service, demand.output_rate as f32));
     Extension {
-        fits: selector.own_fits(),
+        fits: selector.own_fits(node.now()),
         output: output.collect(),
         store_age: node.store_age(),
         reader: node.reader.get(),
