--- a/crates/cumin-entry/tests/all/fleet.rs
+++ b/crates/cumin-entry/tests/all/fleet.rs
@@ -86,3 +86,28 @@
     assert!(read_pause(330, Millis(1200)) <= Millis(400));
     assert!(read_pause(330, drain) <= Millis(1000));
 }
+
+/// All endpoints lapsed after an outage and expired without a request: each is used from its next
+/// registration on, also if its removal came meanwhile.
+#[test]
+fn all_lapsed() {
+    for removed in [false, true] {
+        let mut fleet = Fleet::default();
+        let names = ["e1", "e2", "e3"];
+        for name in names {
+            fleet.register(endpoint(name));
+        }
+        fleet.store_regained(Millis(1000));
+        for name in names {
+            fleet.unregister(&name.into(), Millis(1100));
+        }
+        assert!(usable(&fleet, Millis(60_000)).is_empty());
+        if removed {
+            fleet.remove_expired(Millis(60_000));
+        }
+        for name in names {
+            fleet.register(endpoint(name));
+        }
+        assert_eq!(usable(&fleet, Millis(60_000)), names);
+    }
+}
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod quota;
 mod recovery;
 mod relay;
+mod retry;
 mod retry_after;
 mod scale;
 mod selection;
--- a/crates/cumin-entry/tests/all/recovery.rs
+++ b/crates/cumin-entry/tests/all/recovery.rs
@@ -218,3 +218,26 @@
         }
     }
 }
+
+/// Connections to all endpoints failed, and requests to all of them were not answered: one of them
+/// is still chosen, at once and later.
+#[test]
+fn all_failed() {
+    let mut selector = Selector::new(SelectorOptions::default());
+    let site = Site::new(1, 3);
+    let need = Need {
+        goal_left: GOAL,
+        time_left: Millis(3000),
+        ..Need::default()
+    };
+    for endpoint in site.fleet.all() {
+        for step in 0..20 {
+            selector.connection_failed(&endpoint.name, Millis(step * 100));
+            selector.attempt_sent(endpoint, &need, 0, 50.0, Millis(step * 100));
+        }
+    }
+    for now in [2000, 2500, 6000, 60_000].map(Millis) {
+        let chosen = selector.choose(&site.fleet, &engines(), &need, &[], now);
+        assert!(matches!(chosen, Choice::Use { .. }), "{chosen:?} at {now}");
+    }
+}
--- a/crates/cumin-entry/tests/all/retry_after.rs
+++ b/crates/cumin-entry/tests/all/retry_after.rs
@@ -116,3 +116,34 @@
     assert_eq!(soonest, Some(Millis(500)));
     assert_eq!(limits.all_waiting([].into_iter(), Millis(1500)), None);
 }
+
+/// All endpoints of a service wanted nothing, and nothing was sent to them meanwhile: a second after
+/// the end of their times all requests are sent.
+#[test]
+fn all_waited() {
+    let mut limits = limits();
+    let all = ["e1", "e2", "e3"].map(endpoint);
+    for endpoint in &all {
+        limits.wait_stated(&endpoint.name, 1, END, Millis(1000));
+    }
+    let mut refused = 0;
+    let mut answers = Vec::new();
+    for now in (60_000..70_000).step_by(50).map(Millis) {
+        for (name, sent, at) in std::mem::take(&mut answers) {
+            if at <= now {
+                limits.wait_ended(&name, 1, sent);
+            } else {
+                answers.push((name, sent, at));
+            }
+        }
+        let blocked = limits.blocked(all.iter(), now);
+        let free = all.iter().find(|e| !blocked.endpoints.contains(&e.name));
+        if let Some(endpoint) = free {
+            limits.request_sent(&endpoint.name, now);
+            answers.push((endpoint.name.clone(), now, now.plus(300)));
+        } else {
+            refused += u32::from(now >= Millis(61_000));
+        }
+    }
+    assert_eq!(refused, 0);
+}
--- a/crates/cumin-entry/tests/all/scale.rs
+++ b/crates/cumin-entry/tests/all/scale.rs
@@ -307,3 +307,51 @@
     // Engines that prefill all of the time cannot answer in time.
     assert!(worst > 1.1, "{worst:.2} engines for each that is kept busy");
 }
+
+/// Orders that were refused for minutes are made again within 6 s of the end of the shortage, even
+/// though all engines are gone and no request is answered or counted.
+#[test]
+fn after_shortage() {
+    let (mut platform, mut scaler) = (Platform::new(), scaler());
+    run(&mut platform, &mut scaler, 4.0, 0, 60);
+    platform.engines.clear();
+    let nothing: Vec<&Endpoint> = Vec::new();
+    let plan = |scaler: &mut Scaler, now: Millis| {
+        let load = Demand::default();
+        scaler.plan(&limits(), &nothing, (&MODEL, 64), load, &[], now)
+    };
+    for now in (60_000..300_000).step_by(1000).map(Millis) {
+        for order in plan(&mut scaler, now) {
+            scaler.order_refused(&order, now);
+        }
+    }
+    let times = (300_000..306_000).step_by(1000).map(Millis);
+    let orders: Vec<Order> = times.flat_map(|now| plan(&mut scaler, now)).collect();
+    let wanted = |spot: bool| {
+        orders
+            .iter()
+            .any(|order| order.spot == spot && order.count > 0)
+    };
+    assert!(wanted(true), "{orders:?}");
+}
+
+/// Without any endpoint and any demand, as all requests are refused then, engines are still ordered.
+#[test]
+fn from_nothing() {
+    let mut scaler = scaler();
+    let mut orders = Vec::new();
+    for now in (0..60_000).step_by(1000).map(Millis) {
+        let load = Demand::default();
+        let planned = scaler.plan(&limits(), &[], (&MODEL, 64), load, &[], now);
+        for order in &planned {
+            scaler.order_accepted(order, now);
+        }
+        orders.extend(planned);
+    }
+    let wanted = |spot: bool| {
+        orders
+            .iter()
+            .any(|order| order.spot == spot && order.count > 0)
+    };
+    assert!(wanted(true) && wanted(false), "{orders:?}");
+}
