--- a/crates/cumin-serve/tests/all/keys.rs
+++ b/crates/cumin-serve/tests/all/keys.rs
@@ -89,6 +89,29 @@
     });
 }
 
+/// Requests that were refused because the document is too old are served 3 s after the store's
+/// return, without any request meanwhile: the users' time to act on what the store holds.
+#[test]
+fn stale_document_ends() {
+    run(async {
+        let endpoint = Endpoint::start(vec![vec![answer(200, "ok")]; 40]).await;
+        let entry = Entry::start(&[&endpoint], &[]).await;
+        entry.store.down.set(true);
+        // `Bounds::revoke_limit` is 2.5 s in these tests.
+        sleep(Duration::from_millis(4500)).await;
+        let got = entry.call("GET", "/safe/x", "", "").await;
+        assert!(got.starts_with("HTTP/1.1 503"), "{got}");
+        entry.store.down.set(false);
+        sleep(Duration::from_secs(3)).await;
+        let mut served = 0;
+        for _ in 0..20 {
+            let got = entry.call("GET", "/safe/x", "", "").await;
+            served += u32::from(got.starts_with("HTTP/1.1 200"));
+        }
+        assert!(served > 18, "{served} of 20");
+    });
+}
+
 /// A key that a new document removes is refused at once.
 #[test]
 fn key_removed() {
