Drop engine samples by age, so that few short prompts end a refusal of long ones

Cause: while short prompts are admitted and answered there are no trials, and samples of a bad spell leave the fit only when newer ones push them out. With one short prompt each 9 s that takes about half an hour.

Change: a sample older than 5 min is dropped if 24 newer ones are left. A node with more than 192 samples in 5 min keeps the same samples as before.

--- a/crates/cumin-entry/src/learn.rs
+++ b/crates/cumin-entry/src/learn.rs
@@ -44,6 +44,8 @@
     /// Time after the last sample of an admitted request from which fits are in doubt, and time
     /// between trials in any case.
     pub max_age: Millis,
+    /// Age from which samples are dropped if `min_samples` newer ones are left.
+    pub sample_ttl: Millis,
 }
 
 impl Default for LearnOptions {
@@ -58,6 +60,7 @@
             max_time: Millis(30_000),
             peer_ttl: Millis(10_000),
             max_age: Millis(10_000),
+            sample_ttl: Millis(300_000),
         }
     }
 }
@@ -111,14 +114,21 @@
     pub running: f64,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Sample<T> {
+    found: T,
+    took_ms: f64,
+    at: Millis,
+}
+
 /// Learns the model of one service.
 #[derive(Debug)]
 pub struct Learner {
     options: LearnOptions,
     /// Tokens and running requests, with the milliseconds to the first event.
-    firsts: VecDeque<(Queue, f64)>,
+    firsts: VecDeque<Sample<Queue>>,
     /// Running requests, with the milliseconds of a token.
-    gaps: VecDeque<(f64, f64)>,
+    gaps: VecDeque<Sample<f64>>,
     /// Samples since the last fit.
     fresh: u32,
     own: Fit,
@@ -223,8 +233,12 @@
     fn add_first(&mut self, queue: Queue, took_ms: f64, now: Millis) -> bool {
         let is_valid = queue.tokens >= 1.0 && queue.running >= 0.0 && self.is_possible(took_ms);
         if is_valid {
-            let sample = (queue, took_ms);
-            push_bounded(&mut self.firsts, sample, self.options.max_samples);
+            let sample = Sample {
+                found: queue,
+                took_ms,
+                at: now,
+            };
+            push_bounded(&mut self.firsts, sample, &self.options);
             self.sampled(now);
         }
         is_valid
@@ -233,11 +247,12 @@
     /// Adds the mean time of the tokens of one event. Impossible samples are ignored.
     pub fn event_gap(&mut self, running: f64, token_ms: f64, now: Millis) {
         if running >= 0.0 && self.is_possible(token_ms) {
-            push_bounded(
-                &mut self.gaps,
-                (running, token_ms),
-                self.options.max_samples,
-            );
+            let sample = Sample {
+                found: running,
+                took_ms: token_ms,
+                at: now,
+            };
+            push_bounded(&mut self.gaps, sample, &self.options);
             self.sampled(now);
         }
     }
@@ -292,7 +307,8 @@
         let options = &self.options;
         let min_fit = MIN_FIT_SAMPLES;
         if self.gaps.len() >= min_fit {
-            let samples: Vec<(f64, f64)> = self.gaps.iter().copied().collect();
+            let gaps = self.gaps.iter();
+            let samples: Vec<(f64, f64)> = gaps.map(|gap| (gap.found, gap.took_ms)).collect();
             let line = quantile_line(&samples, options.gap_quantile);
             self.own.gaps = count(self.gaps.len());
             self.own.step_ms = single(line.0.max(MIN_STEP_MS));
@@ -303,9 +319,10 @@
             let samples: Vec<(f64, f64)> = self
                 .firsts
                 .iter()
-                .map(|(queue, ms)| {
+                .map(|first| {
+                    let queue = first.found;
                     let steps = self.model.step_time_ms(queue.tokens, queue.running);
-                    (queue.tokens, ms - steps)
+                    (queue.tokens, first.took_ms - steps)
                 })
                 .collect();
             let line = quantile_line(&samples, options.first_quantile);
@@ -319,11 +336,17 @@
 /// Samples below which a node fits no line.
 const MIN_FIT_SAMPLES: usize = 12;
 
-fn push_bounded<T>(samples: &mut VecDeque<T>, sample: T, max: usize) {
-    if samples.len() >= max {
+/// Adds a sample, and drops those beyond the maximum number and those that are too old.
+fn push_bounded<T>(samples: &mut VecDeque<Sample<T>>, sample: Sample<T>, options: &LearnOptions) {
+    let now = sample.at;
+    samples.push_back(sample);
+    let is_old = |sample: &Sample<T>| now.since(sample.at) >= options.sample_ttl.0;
+    let min = usize::try_from(options.min_samples).unwrap_or(usize::MAX);
+    while samples.len() > options.max_samples
+        || (samples.len() > min && samples.front().is_some_and(is_old))
+    {
         samples.pop_front();
     }
-    samples.push_back(sample);
 }
 
 /// Returns the median of values by weight, or `None` if the weights sum to less than `min`.
--- a/crates/cumin-entry/tests/all/recovery.rs
+++ b/crates/cumin-entry/tests/all/recovery.rs
@@ -219,6 +219,33 @@
     }
 }
 
+/// While short prompts are admitted and answered now and then, there are no trials: long prompts that
+/// were refused since a slow spell must not wait until 192 short ones have been answered.
+#[test]
+fn few_short_prompts() {
+    const RECOVERY: u64 = 480_000;
+    let mut site = Site::new(1, 3);
+    site.play((0, 40_000), 8000, 40, 1);
+    site.play((40_000, 440_000), 8000, 5, 1);
+    let sound = 500_000;
+    let mut long = (0, 0);
+    for step in 0..(RECOVERY + 90_000) / 9000 {
+        let now = sound + step * 9000;
+        site.play((now, now + 100), 400 + step % 2 * 100, 40, 1);
+        let before = site.sent;
+        site.play((now + 5000, now + 5100), 8000, 40, 1);
+        if step * 9000 > RECOVERY {
+            long = (long.0 + 1, long.1 + site.sent - before);
+        }
+    }
+    assert!(
+        long.1 * 10 > long.0 * 9,
+        "{} of {} long prompts",
+        long.1,
+        long.0
+    );
+}
+
 /// Connections to all endpoints failed, and requests to all of them were not answered: one of them
 /// is still chosen, at once and later.
 #[test]
