Measure refusals as full against an oracle that knows the endpoints

A seeded simulation of a plain service with 1, 3 and 10 endpoints at half, full and twice the capacity, with and without spells in which all are four times slower for 6.5 s. It is run by hand and bounds nothing.

--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod outage;
 mod quota;
 mod recovery;
+mod refusals;
 mod relay;
 mod retry;
 mod retry_after;
