Truncate a stream whose resumption starts over

The splitter dropped the events at or below the caller's last one and joined the rest, so a run that ignored Last-Event-Id and started over was pieced together with the first one.

A first identifier below the last one, or an equal one with other data, is now a fault of the attempt: another endpoint is tried, or the answer is truncated. A copy of the last event is still dropped. As identifiers must not go back across attempts either, one of the two that the splitter kept is enough.

--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -1,5 +1,7 @@
 //! Splits a stream of server-sent events into complete events.
 
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+
 use bytes::{Bytes, BytesMut};
 
 /// Splitter for the events of one answer, across all attempts of its request.
@@ -7,8 +9,8 @@
 pub(crate) struct EventSplitter {
     partial: BytesMut,
     last_id: Option<u64>,
-    /// Identifier of the last event of this attempt.
-    attempt_id: Option<u64>,
+    /// Hash of the data of the event with `last_id`.
+    last_data: u64,
     /// Whether an event with data but without an identifier was returned.
     unnumbered: bool,
     /// Events that the last call of [`push`](Self::push) completed.
@@ -40,7 +42,6 @@
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
         self.searched = 0;
-        self.attempt_id = None;
         self.fault = None;
     }
 
@@ -62,8 +63,8 @@
         self.partial.is_empty()
     }
 
-    /// Adds bytes of the stream and returns the events that they complete, except those that the
-    /// caller already has, up to the first fault.
+    /// Adds bytes of the stream and returns the events that they complete, except a copy of the last
+    /// one that the caller has, up to the first fault.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
@@ -74,19 +75,24 @@
             let id = event_id(&event);
             if !is_event(&event) {
                 self.fault = Some("text that is no event");
-            } else if id.is_some() && id < self.attempt_id {
+            } else if id.is_some() && id < self.last_id {
+                // Also the start of a resumption that does not go on at the last event.
                 self.fault = Some("the events of another run");
+            } else if id.is_some() && id == self.last_id && data_hash(&event) != self.last_data {
+                self.fault = Some("another event with the last identifier");
             }
             if self.fault.is_some() {
                 break;
             }
-            self.attempt_id = id.or(self.attempt_id);
             self.unnumbered |= id.is_none() && has_data(&event);
-            let delivered = id.is_some_and(|id| self.last_id.is_some_and(|last_id| id <= last_id));
-            if delivered {
+            if id.is_some() && id == self.last_id {
+                // A resumption may begin with the event that the caller has last.
                 continue;
             }
-            self.last_id = id.or(self.last_id);
+            if id.is_some() {
+                self.last_id = id;
+                self.last_data = data_hash(&event);
+            }
             self.completed += 1;
             complete.extend_from_slice(&event);
         }
@@ -123,9 +129,23 @@
     is_known && !text.contains(&0) && !lines().any(|line| line.starts_with(b"HTTP/1."))
 }
 
+fn data_lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|byte| *byte == b'\n');
+    lines.filter(|line| line.starts_with(b"data"))
+}
+
 fn has_data(event: &[u8]) -> bool {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    lines.any(|line| line.starts_with(b"data"))
+    data_lines(event).next().is_some()
+}
+
+/// Returns a hash of the data lines; other lines, such as versions of weights, may differ between
+/// copies of an event.
+fn data_hash(event: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for line in data_lines(event) {
+        line.strip_suffix(b"\r").unwrap_or(line).hash(&mut hasher);
+    }
+    hasher.finish()
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/cumin-serve/tests/all/event_text.rs
+++ b/crates/cumin-serve/tests/all/event_text.rs
@@ -154,3 +154,36 @@
         assert!(cut > 0);
     });
 }
+
+/// A resumption that starts over, or that has another text for the event that the caller has last,
+/// is another run: its events must not be joined to those of the first.
+#[test]
+fn starts_over() {
+    run(async {
+        let sent = event(1) + &event(2) + &event(3);
+        for rest in [
+            sent.clone() + &event(4) + &event(5),
+            event(2) + &event(3) + &event(4),
+            "id: 3\ndata: other\n\n".to_owned() + &event(4),
+        ] {
+            let broken = vec![stream_head(), chunk(&sent), Step::Wait(20), Step::Reset];
+            let other = vec![stream_head(), chunk(&rest), last_chunk()];
+            let first = Endpoint::start(vec![broken]).await;
+            let second = Endpoint::start(vec![other]).await;
+            let entry = Entry::start(&[], &[&first, &second]).await;
+            let mut resumed = 0;
+            // The endpoint that is chosen first varies between requests.
+            for _ in 0..12 {
+                let before = (first.count(), second.count());
+                let got = entry.call("POST", "/resume/x", "", "prompt").await;
+                if first.count() == before.0 || !got.starts_with("HTTP/1.1 200") {
+                    continue;
+                }
+                resumed += second.count() - before.1;
+                assert_eq!(decoded(&got), sent, "{rest:?}: {got:?}");
+                assert!(!is_terminated(&got), "{rest:?}: {got:?}");
+            }
+            assert!(resumed > 0, "{rest:?}");
+        }
+    });
+}
