Truncate a resumed stream that lacks an event that had begun

The splitter keeps that an event was begun and not returned; while it is owed, the end of a stream counts as a break.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -469,8 +469,8 @@
                 progress = Instant::now();
             }
         }
-        if !events.is_complete() {
-            let error = AnswerError::Malformed("the stream ends within an event".into());
+        if let Some(fault) = events.end_fault() {
+            let error = AnswerError::Malformed(fault.into());
             return Ok(self.stream_broke(&error, flight, events, reply));
         }
         if answer.until_close && is_first {
--- a/crates/cumin-serve/src/events.rs
+++ b/crates/cumin-serve/src/events.rs
@@ -17,6 +17,8 @@
     completed: u32,
     /// Bytes at the start of `partial` that hold no end of an event.
     searched: usize,
+    /// Whether an attempt broke off within an event that was not returned since.
+    owed: bool,
     /// Why no more events of this attempt are returned.
     fault: Option<&'static str>,
 }
@@ -40,6 +42,7 @@
 
     /// Discards the incomplete event of an earlier attempt.
     pub(crate) fn discard_partial(&mut self) {
+        self.owed |= self.fault.is_none() && may_hold_event(&self.partial);
         self.partial.clear();
         self.searched = 0;
         self.fault = None;
@@ -58,9 +61,15 @@
             .or_else(|| oversized.then_some("an event without end"))
     }
 
-    /// Returns whether the stream so far ends with a complete event.
-    pub(crate) fn is_complete(&self) -> bool {
-        self.partial.is_empty()
+    /// Returns why the stream is not complete if it ends here.
+    pub(crate) fn end_fault(&self) -> Option<&'static str> {
+        if !self.partial.is_empty() {
+            Some("the stream ends within an event")
+        } else if self.owed {
+            Some("the stream ends before an event that had begun")
+        } else {
+            None
+        }
     }
 
     /// Adds bytes of the stream and returns the events that they complete, except a copy of the last
@@ -89,6 +98,7 @@
                 // A resumption may begin with the event that the caller has last.
                 continue;
             }
+            self.owed &= !has_data(&event);
             if id.is_some() {
                 self.last_id = id;
                 self.last_data = data_hash(&event);
@@ -129,6 +139,12 @@
     is_known && !text.contains(&0) && !lines().any(|line| line.starts_with(b"HTTP/1."))
 }
 
+/// Returns whether the beginning of an event is more than comments.
+fn may_hold_event(partial: &[u8]) -> bool {
+    let mut lines = partial.split(|byte| *byte == b'\n');
+    lines.any(|line| !line.trim_ascii().is_empty() && !line.starts_with(b":"))
+}
+
 fn data_lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
     let lines = event.split(|byte| *byte == b'\n');
     lines.filter(|line| line.starts_with(b"data"))
--- a/crates/cumin-serve/tests/all/streams.rs
+++ b/crates/cumin-serve/tests/all/streams.rs
@@ -200,6 +200,51 @@
     });
 }
 
+/// Returns an answer to a request whose first run sends `sent` and breaks off, and whose resumption
+/// ends properly without an event.
+async fn empty_resumption(sent: &str) -> String {
+    let broken = vec![stream_head(), chunk(sent), Step::Wait(20), Step::Reset];
+    let first = Endpoint::start(vec![broken]).await;
+    let second = Endpoint::start(vec![vec![stream_head(), last_chunk()]]).await;
+    let entry = Entry::start(&[], &[&first, &second]).await;
+    // The endpoint that is chosen first varies between requests.
+    for _ in 0..12 {
+        let before = (first.count(), second.count());
+        let got = entry.call("POST", "/resume/x", "", "prompt").await;
+        if first.count() > before.0 && second.count() > before.1 {
+            return got;
+        }
+    }
+    panic!("no stream was resumed");
+}
+
+/// A resumption without an event must not end a stream as complete if the first run had begun
+/// another event: that one is missing.
+#[test]
+fn missing_last_event() {
+    run(async {
+        for half in ["id: 2\nda", "i", "id: 2\ndata: t2\n"] {
+            let got = empty_resumption(&(event(1) + half)).await;
+            assert_eq!(events(&got), [1], "{half:?}: {got}");
+            assert!(!is_terminated(&got), "{half:?}: {got}");
+            let got = empty_resumption(half).await;
+            assert!(!got.starts_with("HTTP/1.1 200"), "{half:?}: {got}");
+        }
+    });
+}
+
+/// A stream that breaks off after its last event is complete if the resumption has nothing to add.
+#[test]
+fn broken_after_last() {
+    run(async {
+        for half in ["", ": comm"] {
+            let got = empty_resumption(&(event(1) + &event(2) + half)).await;
+            assert_eq!(events(&got), [1, 2], "{half:?}: {got}");
+            assert!(is_terminated(&got), "{half:?}: {got}");
+        }
+    });
+}
+
 /// The request of a caller that disconnects is aborted at the endpoint within half a second.
 #[test]
 fn caller_disconnects() {
