Do not pass on a refusal that may be untrue

A sealed 408, 429 or 503 without X-Not-Executed was forwarded as it came. To a caller these statuses promise that the request has not run and never will, and callers repeat bookings after them; an endpoint states that with X-Not-Executed or 421 only ("no other response states this").

A request that may run once is now answered 502 without the seal, which promises nothing (REFUSED; MIXED forbids another status under a seal only). One that may run again is sent to another endpoint, and the refusal is forwarded if there is none. The dialect decides which statuses promise that.

--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -252,6 +252,9 @@
     /// Parses the head of an endpoint's answer.
     fn parse_answer(&self, head: &ResponseHead) -> AnswerHead;
 
+    /// Returns whether an answer promises callers that their request has not run and never will.
+    fn is_refusal(&self, head: &ResponseHead) -> bool;
+
     /// Returns whether an answer, to whichever request, states that the endpoint leaves.
     fn parse_leaving(&self, head: &ResponseHead) -> AnswerLeaving;
 
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use actix_http::ResponseHead;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::limits::AnswerLimit;
@@ -309,11 +309,24 @@
             self.request_ran(&mut flight, answer.until_close);
         }
         self.release(&endpoint, answer, &answer_head);
-        let may_retry = self.route.kind.is_repeatable() && head.status.is_server_error();
+        let is_repeatable = self.route.kind.is_repeatable();
+        let refused = node.platform.dialect.is_refusal(&head);
+        let may_retry = is_repeatable && (head.status.is_server_error() || refused);
         if may_retry && self.attempts_sent < self.route.attempts {
             return Ok(AttemptEnd::Failed(head, body));
         }
         drop(flight);
+        if refused && !is_repeatable {
+            // It may have run, so its caller must not be promised that it has not.
+            log::info!(
+                "event=unproven_refusal id={} endpoint={endpoint} status={}",
+                self.id(),
+                head.status.as_u16()
+            );
+            let status = StatusCode::BAD_GATEWAY;
+            let end = reply.refuse(status, None, "the endpoint refused").await?;
+            return Ok(AttemptEnd::Answered(end, "broken"));
+        }
         let (end, outcome) = self.forward(&head, &body, reply).await?;
         Ok(AttemptEnd::Answered(end, outcome))
     }
--- a/crates/cumin-serve/tests/all/answers.rs
+++ b/crates/cumin-serve/tests/all/answers.rs
@@ -179,6 +179,49 @@
     });
 }
 
+/// Statuses that promise that the request has not run. Only `X-Not-Executed` or 421 says so for an
+/// endpoint; a seal does not.
+const PROMISES: [u16; 3] = [408, 429, 503];
+
+/// A request that may run only once may have run at an endpoint that refuses it without saying
+/// otherwise; its caller must not be promised that it has not.
+#[test]
+fn unproven_refusal() {
+    run(async {
+        for status in PROMISES {
+            let endpoint = Endpoint::start(vec![vec![answer(status, "refused")]]).await;
+            let entry = Entry::start(&[&endpoint], &[&endpoint]).await;
+            for path in ["/unsafe/x", "/stream/x"] {
+                let got = entry.call("POST", path, "", "book").await;
+                assert!(got.starts_with("HTTP/1.1 502"), "{path} {status}: {got}");
+                assert!(!got.to_lowercase().contains("x-response-seal"), "{got}");
+            }
+            assert_eq!(endpoint.count(), 2, "{status}");
+        }
+    });
+}
+
+/// A request that may run again is sent to another endpoint after such a refusal, which is forwarded
+/// unchanged if there is none.
+#[test]
+fn unproven_refusal_retried() {
+    run(async {
+        for status in PROMISES {
+            let refusing = Endpoint::start(vec![vec![answer(status, "refused")]]).await;
+            let entry = Entry::start(&[&refusing], &[]).await;
+            let got = entry.call("GET", "/safe/x", "", "").await;
+            assert!(got.starts_with(&format!("HTTP/1.1 {status}")), "{got}");
+            assert!(got.to_lowercase().contains("x-response-seal"), "{got}");
+            let sound = Endpoint::start(vec![vec![answer(200, "ran")]]).await;
+            let entry = Entry::start(&[&refusing, &sound], &[]).await;
+            for _ in 0..4 {
+                let got = entry.call("GET", "/safe/x", "", "").await;
+                assert_eq!(body(&got), "ran", "{status}: {got}");
+            }
+        }
+    });
+}
+
 /// A failed connection sends nothing, so even a request that may run only once is retried at
 /// another endpoint.
 #[test]
