--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -371,7 +371,10 @@
                 add_contacts(&node, &page);
                 list_interval(&node)
             }
-            Err(_) => ANNOUNCE_RETRY_PAUSE,
+            Err(error) => {
+                log::warn!("event=entries_unlisted error={error}");
+                ANNOUNCE_RETRY_PAUSE
+            }
         };
         tokio::time::sleep(pause.duration()).await;
     }
