Record why answers in HTTP/1.0 count as broken

The behaviour stays.

unframed::older_version keeps it: neither a body that may be cut nor the framing of chunks, which HTTP/1.0 does not have, reaches the caller.

--- a/crates/cumin-serve/tests/all/unframed.rs
+++ b/crates/cumin-serve/tests/all/unframed.rs
@@ -121,6 +121,27 @@
     });
 }
 
+/// The platform speaks HTTP/1.1 only. An answer in HTTP/1.0 must not reach the caller in part, or with
+/// the framing of chunks, which that version does not have.
+#[test]
+fn older_version() {
+    run(async {
+        let head = "HTTP/1.0 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n";
+        for rest in [
+            "\r\nhalf",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+        ] {
+            let answer = Step::Write(format!("{head}{rest}"));
+            let script = vec![answer, Step::Wait(20), Step::Close];
+            let endpoint = Endpoint::start(vec![script]).await;
+            let entry = Entry::start(&[&endpoint], &[]).await;
+            let got = entry.call("POST", "/unsafe/x", "", "book").await;
+            assert!(got.starts_with("HTTP/1.1 502"), "{rest:?}: {got}");
+            assert!(!body(&got).contains("half"), "{rest:?}: {got}");
+        }
+    });
+}
+
 /// Answers the first bytes of a request with half a body, and resets the connection.
 async fn reset_after_half(mut stream: TcpStream) {
     let mut part = vec![0; 300];
