Share what endpoints state of waits and leaving between the entry and the node

The parsers of Retry-After and of a statement of leaving were in platform/, the state in cumin-entry, so that cumin-node could use neither without a dependency on the users' platform. The parsers are now in cumin-http, the values in cumin-types, Wait and Leaving in cumin-retry; Waits keeps waits by endpoint for nodes without shared limits. There is one copy of each; the wire name of the users' platform stays in platform/.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -6,10 +6,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use cumin_retry::Leaving;
 use cumin_types::{EndpointName, Millis, Place, Service};
 use serde::{Deserialize, Serialize};
 
-use crate::leaving::{Leaving, StatedLeaving};
+use crate::leaving::StatedLeaving;
 
 /// Time for endpoints to register again after an outage of the store: the users state about two
 /// seconds.
@@ -135,7 +136,8 @@
             let started_ms = endpoint.started_ms;
             self.leaving.stated(&name, started_ms, AT_ONCE, AT_ONCE);
         }
-        endpoint.draining |= self.leaving.until(&endpoint) == Some(AT_ONCE);
+        endpoint.draining |=
+            self.leaving.until(&endpoint.name, endpoint.started_ms) == Some(AT_ONCE);
         let known = self.registrations.get(&name);
         let lapsed = known.is_some_and(|known| known.expires.is_some());
         let old = known.map(|known| &known.endpoint);
@@ -254,7 +256,11 @@
     /// Returns whether an endpoint drains or has stated that it leaves.
     #[must_use]
     pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
-        endpoint.draining || self.leaving.until(endpoint).is_some()
+        endpoint.draining
+            || self
+                .leaving
+                .until(&endpoint.name, endpoint.started_ms)
+                .is_some()
     }
 
     /// Returns whether an endpoint is registered and may get a request at `now`.
@@ -265,7 +271,7 @@
     }
 
     fn may_get_request(&self, endpoint: &Endpoint, now: Millis) -> bool {
-        let until = self.leaving.until(endpoint);
+        let until = self.leaving.until(&endpoint.name, endpoint.started_ms);
         !endpoint.draining && until.is_none_or(|until| now < until)
     }
 
@@ -274,7 +280,7 @@
     pub fn stated_leaving(&self, now: Millis) -> Vec<StatedLeaving> {
         let stated = self.all().filter(|endpoint| !endpoint.draining);
         let stated = stated.filter_map(|endpoint| {
-            let until = self.leaving.until(endpoint)?;
+            let until = self.leaving.until(&endpoint.name, endpoint.started_ms)?;
             Some(StatedLeaving {
                 endpoint: endpoint.name.clone(),
                 started_ms: endpoint.started_ms,
--- a/crates/cumin-entry/src/limits.rs
+++ b/crates/cumin-entry/src/limits.rs
@@ -20,14 +20,12 @@
 //! * Many requests that wait for the time of an endpoint that wanted nothing: a few of them try
 //!   first, and the rest follows when one is answered.
 
-mod wait;
-
 use std::collections::BTreeMap;
 
+use cumin_retry::Wait;
 use cumin_types::{EndpointName, Incarnation, Millis, NodeName, score};
 use serde::{Deserialize, Serialize};
 
-use self::wait::Wait;
 use crate::fleet::{Endpoint, Fleet};
 
 /// Minimum rate in requests a second at which answers are asked for.
@@ -341,7 +339,7 @@
         if let Some(account) = self.accounts.get_mut(endpoint)
             && account.started_ms == started_ms
         {
-            account.pause = account.pause.filter(|known| sent < known.until);
+            account.pause = account.pause.filter(|known| !known.is_ended_by(sent));
         }
     }
 
--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -10,6 +10,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
+pub use cumin_types::{AnswerLeaving, AnswerWait};
 use cumin_types::{
     EndpointName, FencingToken, LogOffset, Millis, Organisation, Place, Service, WallMillis,
 };
@@ -215,32 +216,6 @@
     pub rate_limit: Option<f64>,
 }
 
-/// What the head of an answer states about the endpoint's leaving.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum AnswerLeaving {
-    /// The endpoint does not leave.
-    #[default]
-    No,
-    /// The endpoint leaves.
-    Leaves,
-    /// The statement can't be read; contains the beginning of its text.
-    Unreadable(String),
-}
-
-/// The time for which the endpoint of an answer wants no further request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum AnswerWait {
-    /// The answer states none.
-    #[default]
-    None,
-    /// A time from the arrival of the answer; the maximum if it is longer than can be stated.
-    For(Millis),
-    /// A time of day.
-    Until(WallMillis),
-    /// The statement is no time, or not above zero; contains the beginning of its text.
-    Unreadable(String),
-}
-
 /// The headers and paths that callers and endpoints of the platform use.
 pub trait Dialect {
     /// Parses the head of a caller's request.
--- a/crates/cumin-http/src/lib.rs
+++ b/crates/cumin-http/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod connection;
+pub mod statement;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/cumin-retry/tests/all/main.rs
+++ b/crates/cumin-retry/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod poison_request;
 mod records;
 mod suspects;
+mod waits;
 
 use cumin_types::{EndpointName, Fingerprint, Organisation};
 
--- a/crates/cumin-types/src/lib.rs
+++ b/crates/cumin-types/src/lib.rs
@@ -4,6 +4,7 @@
 //! up are newtypes, and the types implement serde's traits so that messages and log records can
 //! contain them directly.
 
+mod answer;
 mod digest;
 mod id;
 mod name;
@@ -11,6 +12,7 @@
 mod request;
 mod unit;
 
+pub use answer::{AnswerLeaving, AnswerWait};
 pub use digest::{Digest, DigestError};
 pub use id::{AttemptId, ClaimKey, RecordId, RequestId};
 pub use name::{Class, EndpointName, Model, NodeName, Organisation, Place, Region, Service};
