Keep to what engines and plain services state of waits and of leaving

A node of cumin-node ignored Retry-After on a 503, and knew of a leaving endpoint from the cloud's notices only. An endpoint that wants nothing for a time now gets no attempt from the node until the time is over, then two that try first; if all endpoints that could run a request want nothing, it is refused at once with the soonest end. An endpoint that states x-leaving: 1 in an answer, also in that to a report, is the last choice for leave_time (2 s) and gets nothing later. Both end with a new process of the endpoint and are not taken back by the cloud's list. A 503 with a wait no longer counts for the ejection of outliers.

Tests: retry_after (9) and leaving (6) in cumin-testbed.

--- a/crates/cumin-node/src/admission.rs
+++ b/crates/cumin-node/src/admission.rs
@@ -281,7 +281,7 @@
                 .set(self.has_settled.get() || self.settled.get());
             admission.rebalance(&reports, &entries, now);
         }
-        for (service, slots, rate) in ctx.fleet.capacities(&ctx.document()) {
+        for (service, slots, rate) in ctx.fleet.capacities(ctx, &ctx.document()) {
             let node_slots = (slots * OVERCOMMIT).div_ceil(entries.len().max(1));
             #[expect(clippy::cast_precision_loss, reason = "far below 2^53 nodes")]
             let rate = rate * OVERCOMMIT as f64 / entries.len().max(1) as f64;
--- a/crates/cumin-node/src/caller/completion.rs
+++ b/crates/cumin-node/src/caller/completion.rs
@@ -18,7 +18,7 @@
 use super::reply::{self, Problem};
 use super::{BodyError, header_text, read_body, stream};
 use crate::node::Ctx;
-use crate::request::{self, ActiveRequest, assign_second};
+use crate::request::{self, ActiveRequest, ENDPOINTS_WAIT, assign_second};
 
 /// Serves `POST /v1/chat/completions` and `POST /v1/completions`.
 pub(super) async fn serve(
@@ -127,6 +127,15 @@
         let finish = Finish::without_answer(Outcome::Failed, request::QUARANTINED);
         return Err(Problem::ended(id, &finish).with_retry(rejection.retry_after));
     }
+    // A call that runs once only may have been run before; its claim tells.
+    let at_most_once = active.run.borrow().at_most_once();
+    if !at_most_once && let Some(wait) = ctx.fleet.all_waiting(ctx, &active, ctx.clock.now()) {
+        let reasons = format!("reason={ENDPOINTS_WAIT} wait_ms={wait}");
+        ctx.decisions.record("refuse", &id, &reasons);
+        ctx.metrics.refused_requests.inc();
+        let finish = Finish::without_answer(Outcome::NotRun, ENDPOINTS_WAIT);
+        return Err(Problem::ended(id, &finish).with_retry(wait));
+    }
     let ticket = ctx
         .admission
         .admit(ctx, admission_request(&active))
@@ -186,7 +195,7 @@
     if let Call::Completion { stream: true, .. } = descriptor.call {
         return Ok(stream_response(ctx, active, from));
     }
-    whole_response(&active).await
+    whole_response(ctx, &active).await
 }
 
 /// Returns a response that streams the answer from position `from`.
@@ -209,6 +218,7 @@
 
 /// Waits for the end of the request and returns a response with the whole answer.
 pub(super) async fn whole_response(
+    ctx: &Ctx,
     active: &Rc<ActiveRequest>,
 ) -> Result<Response<BoxBody>, Problem> {
     let _reader = active.add_reader();
@@ -222,8 +232,15 @@
         }
         changed.await;
     };
+    let wait = (finish.reason == ENDPOINTS_WAIT)
+        .then(|| ctx.fleet.all_waiting(ctx, active, ctx.clock.now()))
+        .flatten();
     let run = active.run.borrow();
-    finished_response(run.descriptor(), run.transcript(), &finish)
+    let response = finished_response(run.descriptor(), run.transcript(), &finish);
+    response.map_err(|problem| match wait {
+        Some(wait) => problem.with_retry(wait),
+        None => problem,
+    })
 }
 
 /// Redirects the caller to the node that continues the request.
--- a/crates/cumin-node/src/caller/plain.rs
+++ b/crates/cumin-node/src/caller/plain.rs
@@ -75,7 +75,7 @@
         owner: ctx.settings.name.clone(),
     };
     let active = accept(ctx, descriptor).await?;
-    whole_response(&active).await
+    whole_response(ctx, &active).await
 }
 
 fn idempotency_key(request: &Request) -> Result<Uuid, Problem> {
--- a/crates/cumin-node/src/caller/reply.rs
+++ b/crates/cumin-node/src/caller/reply.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::admission::Denied;
-use crate::request::QUARANTINED;
+use crate::request::{ENDPOINTS_WAIT, QUARANTINED};
 
 /// An error response to a caller.
 #[derive(Clone, Debug)]
@@ -70,6 +70,10 @@
                 StatusCode::UNPROCESSABLE_ENTITY,
                 "endpoints crashed while they ran this request",
             ),
+            Outcome::NotRun | Outcome::Failed if finish.reason == ENDPOINTS_WAIT => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "all endpoints that could run the request asked to wait",
+            ),
             Outcome::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "the request was not run"),
             Outcome::Unknown => (StatusCode::BAD_GATEWAY, "the request may have taken effect"),
             _ if finish.reason == "deadline" => (
--- a/crates/cumin-node/src/caller/resume.rs
+++ b/crates/cumin-node/src/caller/resume.rs
@@ -77,7 +77,7 @@
             if completion && (wants_stream || from.is_some()) {
                 Ok(stream_response(ctx, active, from.unwrap_or_default()))
             } else if wait {
-                whole_response(&active).await
+                whole_response(ctx, &active).await
             } else {
                 let state = RunningState {
                     id: id.to_string(),
--- a/crates/cumin-node/src/fleet.rs
+++ b/crates/cumin-node/src/fleet.rs
@@ -12,14 +12,15 @@
 use cumin_config::Document;
 use cumin_request::AttemptFailure;
 use cumin_retry::Candidate;
-use cumin_route::{Dispatch, Finish, Query, Router, RouterOptions};
-use cumin_types::{AttemptId, Call, EndpointName, Millis, RequestId, Service};
+use cumin_route::{Choice, Dispatch, Finish, NoEndpoint, Query, Router, RouterOptions};
+use cumin_types::{AttemptId, Call, EndpointName, Millis, Position, RequestId, Service};
 use cumin_wire::engine::Load;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
 use crate::node::Ctx;
 use crate::request::ActiveRequest;
+use crate::statement::Standing;
 
 /// Expected length of a completion whose caller sets no limit.
 const DEFAULT_OUTPUT_TOKENS: u64 = 256;
@@ -32,6 +33,15 @@
     /// Longest wait for the first frame of the answer.
     pub(crate) start_timeout: Duration,
     cached_tokens: u64,
+    /// Number of its process, from [`Statements::process`](crate::statement::Statements::process).
+    process: u64,
+}
+
+impl SelectedEndpoint {
+    /// Returns what identifies its process in statements.
+    pub(crate) fn stated_by(&self) -> (&EndpointName, u64) {
+        (&self.name, self.process)
+    }
 }
 
 /// Features of a prompt that the router uses, computed once per request.
@@ -112,8 +122,11 @@
         now: Millis,
     ) -> Result<SelectedEndpoint, String> {
         let mut query = Self::query(ctx, active);
-        let avoided = ctx.health.avoided(&query.service, now);
-        let imported = preferred.filter(|name| !avoided.contains(name) && !self.is_leaving(name));
+        let (leaving, closed) = ctx.statements.restricted(now);
+        let mut avoided = ctx.health.avoided(&query.service, now);
+        avoided.extend(closed);
+        let imported =
+            preferred.filter(|name| !avoided.contains(name) && !self.is_leaving(ctx, name));
         if let Some(selected) =
             imported.and_then(|name| self.endpoint(ctx, name, query.prompt_tokens))
         {
@@ -121,26 +134,43 @@
             ctx.decisions.record("route", &active.id, &reasons);
             return Ok(selected);
         }
-        let tried = query.exclude.clone();
-        query.exclude.extend(avoided.iter().cloned());
-        let mut router = self.router.borrow_mut();
-        let mut rng = rand::rng();
-        let mut chosen = router.choose(&query, now, &mut rng);
-        // An endpoint that was tried before is better than none; an avoided one is not.
-        if chosen.is_err() && !tried.is_empty() {
-            query.exclude = avoided;
-            chosen = router.choose(&query, now, &mut rng);
-        }
-        let choice = chosen.map_err(|error| format!("reason=no_endpoint {error}"))?;
+        let chosen = self.choose(&mut query, &avoided, &leaving, now);
+        let choice = chosen.map_err(|error| {
+            let (leaving, waiting) = self.stated_counts(ctx, &query.service, now);
+            format!("reason=no_endpoint {error} stated_leaving={leaving} waiting={waiting}")
+        })?;
         ctx.decisions.record("route", &active.id, &choice);
         Ok(SelectedEndpoint {
             name: choice.endpoint().clone(),
             address: choice.address,
             start_timeout: ctx.options.start_timeout,
             cached_tokens: choice.cached_tokens(),
+            process: ctx.statements.process(choice.endpoint()),
         })
     }
 
+    /// Chooses an endpoint other than those to avoid; one that was tried before, or leaves, only if
+    /// there is no other.
+    fn choose(
+        &self,
+        query: &mut Query,
+        avoided: &[EndpointName],
+        leaving: &[EndpointName],
+        now: Millis,
+    ) -> Result<Choice, NoEndpoint> {
+        let tried = std::mem::take(&mut query.exclude);
+        let mut router = self.router.borrow_mut();
+        let mut rng = rand::rng();
+        let mut choose = |tried: &[EndpointName], leaving: &[EndpointName]| {
+            query.exclude = [avoided, tried, leaving].concat();
+            router.choose(query, now, &mut rng)
+        };
+        choose(&tried, leaving)
+            .or_else(|_| choose(&[], leaving))
+            .or_else(|_| choose(&tried, &[]))
+            .or_else(|_| choose(&[], &[]))
+    }
+
     /// Returns an endpoint by name, for an attempt that has to go there.
     pub(crate) fn endpoint(
         &self,
@@ -155,9 +185,42 @@
             address: info.address,
             start_timeout: ctx.options.start_timeout,
             cached_tokens,
+            process: ctx.statements.process(name),
         })
     }
 
+    /// Returns how many endpoints of a service stated that they leave, and how many want nothing.
+    fn stated_counts(&self, ctx: &Ctx, service: &Service, now: Millis) -> (usize, usize) {
+        let services = self.services.borrow();
+        let names = services.get(service).into_iter().flatten();
+        ctx.statements.counts(names, now)
+    }
+
+    /// Returns the time after which the first endpoint wants requests again, if all that could run
+    /// a request want nothing for a time that they stated.
+    ///
+    /// Returns `None` for a request that has begun: it is held until an endpoint can go on.
+    pub(crate) fn all_waiting(
+        &self,
+        ctx: &Ctx,
+        active: &ActiveRequest,
+        now: Millis,
+    ) -> Option<Millis> {
+        if active.run_progress().0 > Position(0) || !ctx.statements.has_waits() {
+            return None;
+        }
+        let query = Query {
+            exclude: Vec::new(),
+            ..Self::query(ctx, active)
+        };
+        let usable = self.router.borrow().usable(&query);
+        let left = usable
+            .iter()
+            .filter(|name| !ctx.statements.has_left(name, now))
+            .map(|name| ctx.statements.wait_left(name, now));
+        left.min().filter(|left| *left > Millis(0))
+    }
+
     /// Returns the endpoints that could run a suspect, with the number of requests that all nodes
     /// run there.
     pub(crate) fn suspect_candidates(&self, ctx: &Ctx, active: &ActiveRequest) -> Vec<Candidate> {
@@ -168,8 +231,20 @@
         let router = self.router.borrow();
         let loads = self.loads.borrow();
         let targets = router.reclaim_targets(&query.service, model).into_iter();
-        targets
+        let now = ctx.clock.now();
+        let standing = |name: &EndpointName| ctx.statements.standing(name, now);
+        let mut targets: Vec<_> = targets
             .filter(|target| !target.leaving && !ctx.health.is_dead(&target.endpoint))
+            .filter(|target| standing(&target.endpoint) != Standing::Closed)
+            .collect();
+        if targets
+            .iter()
+            .any(|target| standing(&target.endpoint) == Standing::Open)
+        {
+            targets.retain(|target| standing(&target.endpoint) == Standing::Open);
+        }
+        targets
+            .into_iter()
             .map(|target| {
                 let own = router
                     .own_load(&target.endpoint)
@@ -186,22 +261,26 @@
             .collect()
     }
 
-    /// Returns the endpoints of a service that are not leaving.
-    pub(crate) fn candidates(&self, service: &Service) -> Vec<EndpointName> {
+    /// Returns the endpoints of a service that may be used, at once or later.
+    pub(crate) fn candidates(&self, ctx: &Ctx, service: &Service) -> Vec<EndpointName> {
+        let now = ctx.clock.now();
         let services = self.services.borrow();
         let names = services.get(service).into_iter().flatten();
         names
-            .filter(|name| !self.is_leaving(name))
+            .filter(|name| !self.is_reclaimed(name) && !ctx.statements.has_left(name, now))
             .cloned()
             .collect()
     }
 
     /// Returns the request slots and the tokens per second of each service.
-    pub(crate) fn capacities(&self, document: &Document) -> Vec<(Service, usize, f64)> {
+    pub(crate) fn capacities(&self, ctx: &Ctx, document: &Document) -> Vec<(Service, usize, f64)> {
         let services = self.services.borrow();
         let capacity = |(service, names): (&Service, &Vec<EndpointName>)| {
             let spec = document.services.get(service)?;
-            let usable = names.iter().filter(|name| !self.is_leaving(name)).count();
+            let usable = names
+                .iter()
+                .filter(|name| !self.is_leaving(ctx, name))
+                .count();
             let slots = usable * spec.worker.concurrent_requests as usize;
             #[expect(clippy::cast_precision_loss, reason = "the document bounds both")]
             let rate = (usable as u64 * spec.worker.tokens_per_second.unwrap_or(0)) as f64;
@@ -210,10 +289,21 @@
         services.iter().filter_map(capacity).collect()
     }
 
-    pub(crate) fn is_leaving(&self, name: &EndpointName) -> bool {
+    /// Returns whether an endpoint leaves, as the platform or the endpoint itself stated.
+    pub(crate) fn is_leaving(&self, ctx: &Ctx, name: &EndpointName) -> bool {
+        self.is_reclaimed(name) || ctx.statements.is_leaving(name)
+    }
+
+    /// Returns whether the platform stated that it reclaims an endpoint.
+    fn is_reclaimed(&self, name: &EndpointName) -> bool {
         self.leaving.borrow().contains_key(name)
     }
 
+    /// Wakes requests that wait for an endpoint.
+    pub(crate) fn notify_changed(&self) {
+        self.changed.notify_waiters();
+    }
+
     /// Stops routing to an endpoint that died, until the watcher finds it reachable again.
     pub(crate) fn remove(&self, name: &EndpointName) {
         self.router.borrow_mut().remove(name);
@@ -246,6 +336,7 @@
     /// Records that an attempt is about to be sent.
     pub(crate) fn attempt_started(
         &self,
+        ctx: &Ctx,
         selected: &SelectedEndpoint,
         active: &ActiveRequest,
         attempt: AttemptId,
@@ -256,6 +347,7 @@
             request: active.id,
         };
         self.attempts.borrow_mut().insert(attempt, sent);
+        ctx.statements.request_sent(&selected.name, now);
         let work = Dispatch {
             attempt,
             blocks: active.prompt.block_hashes.clone(),
--- a/crates/cumin-node/src/fleet/reclaim.rs
+++ b/crates/cumin-node/src/fleet/reclaim.rs
@@ -17,6 +17,7 @@
 
 use crate::node::Ctx;
 use crate::request::{ActiveRequest, Command};
+use crate::statement::Standing;
 
 /// Divides the notice time to get the margin that is kept free after the last transfer. With a
 /// fixed margin of 1 s, a notice of 1 s left no time for any transfer.
@@ -105,6 +106,10 @@
         };
         if targets.is_empty() {
             targets = router.reclaim_targets(&descriptor.service, model);
+            let now = ctx.clock.now();
+            for target in &mut targets {
+                target.leaving |= ctx.statements.standing(&target.endpoint, now) != Standing::Open;
+            }
         }
         let position = run.transcript().position().0;
         let tokens = active.prompt.tokens + position;
--- a/crates/cumin-node/src/fleet/watch.rs
+++ b/crates/cumin-node/src/fleet/watch.rs
@@ -3,10 +3,14 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
+use actix_rt::net::TcpStream;
 use cumin_config::ServiceKind;
 use cumin_route::{EndpointInfo, Trust};
 use cumin_types::{Cost, EndpointName, Millis, Model, Service};
@@ -17,6 +21,7 @@
 use super::{Fleet, reclaim};
 use crate::health;
 use crate::node::Ctx;
+use crate::statement::{self, Standing};
 
 /// Timeout of one read from the platform or from an endpoint.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -30,11 +35,13 @@
 }
 
 struct WatchedEndpoint {
+    name: EndpointName,
     address: SocketAddr,
     service: Service,
     is_engine: bool,
     misses: u32,
     read_pending: Rc<Cell<bool>>,
+    probe_pending: Rc<Cell<bool>>,
 }
 
 impl Fleet {
@@ -54,9 +61,14 @@
                 apply_instances(&ctx, &mut watch_list, &list.instances).await;
             }
             ctx.fleet.endpoint_count.set(watch_list.endpoints.len());
+            let (leaving, waiting) = ctx
+                .statements
+                .counts(watch_list.endpoints.keys(), ctx.clock.now());
+            ctx.metrics.set_stated(leaving, waiting);
             update_services(&ctx, &watch_list);
-            for (name, watched) in &mut watch_list.endpoints {
-                read_reports(&ctx, name, watched);
+            for watched in watch_list.endpoints.values() {
+                read_reports(&ctx, watched);
+                probe_stated(&ctx, watched);
             }
             actix_rt::time::sleep(ctx.options.poll_period).await;
         }
@@ -68,7 +80,37 @@
 }
 
 async fn get<T: DeserializeOwned>(ctx: &Ctx, url: &str) -> Option<T> {
-    let mut response = match ctx.pooled.get(url).timeout(TIMEOUT).send().await {
+    get_with_head(ctx, url, |_, _| {}).await
+}
+
+/// Reads a report of an endpoint, and what its answer states.
+async fn get_report<T: DeserializeOwned>(
+    ctx: &Ctx,
+    watched: (&EndpointName, SocketAddr),
+    path: &str,
+) -> Option<T> {
+    let (name, address) = watched;
+    let process = ctx.statements.process(name);
+    get_with_head(
+        ctx,
+        &format!("http://{address}{path}"),
+        |status, headers| {
+            statement::answer_heard(ctx, (name, process), &path, status, headers);
+        },
+    )
+    .await
+}
+
+async fn get_with_head<T: DeserializeOwned>(
+    ctx: &Ctx,
+    url: &str,
+    head: impl FnOnce(StatusCode, &HeaderMap),
+) -> Option<T> {
+    let sent = ctx.pooled.get(url).timeout(TIMEOUT).send().await;
+    if let Ok(response) = &sent {
+        head(response.status(), response.headers());
+    }
+    let mut response = match sent {
         Ok(response) if response.status().is_success() => response,
         Ok(response) => {
             log::debug!(
@@ -141,6 +183,9 @@
         ctx.fleet.router.borrow_mut().remove(name);
         false
     });
+    let is_listed =
+        |name: &EndpointName| listed.contains(name) || watch_list.endpoints.contains_key(name);
+    ctx.statements.trim(is_listed, ctx.clock.now());
 }
 
 /// Updates the endpoints of each service, here and in the health state.
@@ -203,15 +248,21 @@
         "service={} place={} address={address} market={:?} price={}",
         info.service, info.place, info.market, info.price
     );
+    if ctx.health.is_dead(name) {
+        ctx.statements.stopped(name);
+    }
+    ctx.statements.listed(name, address, ctx.clock.now());
     ctx.health.mark_alive(name);
     ctx.decisions.record("add_endpoint", name, &reasons);
     ctx.fleet.router.borrow_mut().upsert(info);
     Some(WatchedEndpoint {
+        name: name.clone(),
         address,
         service,
         is_engine,
         misses: 0,
         read_pending: Rc::default(),
+        probe_pending: Rc::default(),
     })
 }
 
@@ -267,15 +318,15 @@
 }
 
 /// Reads the load and cache reports of an engine, unless the previous read is still running.
-fn read_reports(ctx: &Rc<Ctx>, name: &EndpointName, watched: &mut WatchedEndpoint) {
+fn read_reports(ctx: &Rc<Ctx>, watched: &WatchedEndpoint) {
     if !watched.is_engine || watched.read_pending.replace(true) {
         return;
     }
-    let (ctx, name, address) = (Rc::clone(ctx), name.clone(), watched.address);
+    let (ctx, name, address) = (Rc::clone(ctx), watched.name.clone(), watched.address);
     let read_pending = Rc::clone(&watched.read_pending);
     let tasks = ctx.tasks.clone();
     tasks.spawn(async move {
-        if let Some(load) = get::<Load>(&ctx, &format!("http://{address}/v1/load")).await {
+        if let Some(load) = get_report::<Load>(&ctx, (&name, address), "/v1/load").await {
             let now = ctx.clock.now();
             ctx.fleet.router.borrow_mut().record_load(&name, &load, now);
             ctx.fleet.loads.borrow_mut().insert(name.clone(), load);
@@ -285,8 +336,8 @@
             Some(Trust::Trusted { seq }) => seq,
             _ => 0,
         };
-        let url = format!("http://{address}/v1/cache/events?after={after}");
-        let trust = match get::<CacheEvents>(&ctx, &url).await {
+        let path = format!("/v1/cache/events?after={after}");
+        let trust = match get_report::<CacheEvents>(&ctx, (&name, address), &path).await {
             Some(batch) => ctx
                 .fleet
                 .router
@@ -295,10 +346,39 @@
             None => None,
         };
         if matches!(trust, Some(Trust::Untrusted { .. }))
-            && let Some(list) = get::<CacheList>(&ctx, &format!("http://{address}/v1/cache")).await
+            && let Some(list) = get_report::<CacheList>(&ctx, (&name, address), "/v1/cache").await
         {
             ctx.fleet.router.borrow_mut().replace_cache(&name, &list);
         }
         read_pending.set(false);
     });
 }
+
+/// Looks whether an endpoint that leaves or wants nothing has stopped, unless the previous look is
+/// still going on. The next process at its address is a new one, to which this does not apply.
+///
+/// The connection carries no request.
+fn probe_stated(ctx: &Rc<Ctx>, watched: &WatchedEndpoint) {
+    let standing = ctx.statements.standing(&watched.name, ctx.clock.now());
+    if standing == Standing::Open || watched.probe_pending.replace(true) {
+        return;
+    }
+    let (ctx, name, address) = (Rc::clone(ctx), watched.name.clone(), watched.address);
+    let probe_pending = Rc::clone(&watched.probe_pending);
+    let tasks = ctx.tasks.clone();
+    tasks.spawn(async move {
+        let connected = TcpStream::connect(address);
+        let result = actix_rt::time::timeout(ctx.options.connect_timeout, connected).await;
+        // A connection that is not answered tells nothing: the network may be cut.
+        if let Ok(Err(error)) = result
+            && error.kind() == io::ErrorKind::ConnectionRefused
+        {
+            ctx.decisions
+                .record("drop_endpoint", &name, &"reason=stopped");
+            ctx.statements.stopped(&name);
+            ctx.health.mark_dead(&name);
+            ctx.fleet.remove(&name);
+        }
+        probe_pending.set(false);
+    });
+}
--- a/crates/cumin-node/src/health.rs
+++ b/crates/cumin-node/src/health.rs
@@ -177,7 +177,7 @@
             );
         }
         if disconnected
-            && !ctx.fleet.is_leaving(&selected.name)
+            && !ctx.fleet.is_leaving(ctx, &selected.name)
             && self.has_died(ctx, selected).await
         {
             let crash = self
@@ -203,6 +203,12 @@
             None | Some(AttemptFailure::Rejected { .. }) => Some(true),
             // Says nothing about the health of the endpoint.
             Some(AttemptFailure::Moved | AttemptFailure::NotStarted) => None,
+            // Gets no requests for the time that it stated, and is not ejected for it.
+            Some(AttemptFailure::ErrorStatus { status: 503 })
+                if ctx.statements.is_waiting(&selected.name, now) =>
+            {
+                None
+            }
             Some(_) => Some(false),
         };
         if let Some(ok) = ok {
@@ -220,6 +226,11 @@
         self.is_dead(&selected.name) || !is_reachable(ctx, selected.address).await
     }
 
+    /// Records that an endpoint has stopped; it is used again once it is listed and reachable.
+    pub(crate) fn mark_dead(&self, name: &EndpointName) {
+        self.dead.borrow_mut().insert(name.clone());
+    }
+
     /// Records that an endpoint is reachable again.
     pub(crate) fn mark_alive(&self, name: &EndpointName) {
         self.dead.borrow_mut().remove(name);
@@ -248,7 +259,7 @@
                 endpoint: selected.name.clone(),
                 attempts: u32::try_from(run.tried().len()).unwrap_or(u32::MAX),
                 tried: run.tried().to_vec(),
-                candidates: ctx.fleet.candidates(&descriptor.service),
+                candidates: ctx.fleet.candidates(ctx, &descriptor.service),
                 deadline: active.deadline,
                 estimated_duration: Millis(0),
             };
--- a/crates/cumin-node/src/lib.rs
+++ b/crates/cumin-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod peer;
 mod record;
 mod request;
+mod statement;
 mod task;
 
 pub use config::DocumentRevision;
--- a/crates/cumin-node/src/metrics.rs
+++ b/crates/cumin-node/src/metrics.rs
@@ -28,6 +28,8 @@
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     pub(crate) running: Gauge<i64, AtomicI64>,
+    leaving: Gauge<i64, AtomicI64>,
+    waiting: Gauge<i64, AtomicI64>,
     pub(crate) attempts: Counter,
     pub(crate) tokens: Counter,
     pub(crate) dropped_frames: Counter,
@@ -45,6 +47,8 @@
         let metrics = Self {
             requests: Family::default(),
             running: Gauge::default(),
+            leaving: Gauge::default(),
+            waiting: Gauge::default(),
             attempts: Counter::default(),
             tokens: Counter::default(),
             dropped_frames: Counter::default(),
@@ -61,11 +65,21 @@
             "Requests ended, by outcome",
             metrics.requests.clone(),
         );
-        registry.register(
-            "requests_running",
-            "Requests in progress",
-            metrics.running.clone(),
-        );
+        for (name, help, gauge) in [
+            ("requests_running", "Requests in progress", &metrics.running),
+            (
+                "endpoints_leaving",
+                "Endpoints that stated that they leave",
+                &metrics.leaving,
+            ),
+            (
+                "endpoints_waiting",
+                "Endpoints that want nothing from this node at present",
+                &metrics.waiting,
+            ),
+        ] {
+            registry.register(name, help, gauge.clone());
+        }
         for (name, help, counter) in [
             ("attempts", "Attempts sent to endpoints", &metrics.attempts),
             ("tokens", "Tokens accepted from endpoints", &metrics.tokens),
@@ -109,6 +123,12 @@
         }
     }
 
+    /// Sets how many endpoints stated that they leave, and how many want nothing.
+    pub(crate) fn set_stated(&self, leaving: usize, waiting: usize) {
+        self.leaving.set(i64::try_from(leaving).unwrap_or(i64::MAX));
+        self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request that ended.
     pub(crate) fn request_ended(&self, outcome: Outcome) {
         let outcome = match outcome {
--- a/crates/cumin-node/src/node.rs
+++ b/crates/cumin-node/src/node.rs
@@ -27,6 +27,7 @@
 use crate::peer::{self, ClientPool, FoundRequest, Inbox, PeerCall, PeerClient};
 use crate::record::{Recorders, Records};
 use crate::request::{self, Replicator, RequestTable};
+use crate::statement::Statements;
 use crate::task::Tasks;
 
 /// Time for the last bytes of a response to leave the socket after its body was written.
@@ -54,6 +55,8 @@
     pub abandon_after: Millis,
     /// Period of polling the platform's lists and the endpoints' reports.
     pub poll_period: Duration,
+    /// Time for which an endpoint may get requests after an answer stated that it leaves.
+    pub leave_time: Millis,
 }
 
 impl Default for Options {
@@ -67,6 +70,7 @@
             plain_deadline: Millis(10_000),
             abandon_after: Millis(30_000),
             poll_period: Duration::from_millis(200),
+            leave_time: Millis(2_000),
         }
     }
 }
@@ -111,6 +115,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) admission: AdmissionControl,
     pub(crate) health: Health,
+    pub(crate) statements: Statements,
     pub(crate) records: Records,
     pub(crate) recorders: Recorders,
     pub(crate) decisions: Decisions,
@@ -195,6 +200,7 @@
             fleet: Fleet::new(),
             admission,
             health: Health::new(settings.name.clone(), wall()),
+            statements: Statements::default(),
             records: Records::new(author.clone()),
             recorders: Recorders::new(author),
             decisions: Decisions::default(),
--- a/crates/cumin-node/src/op.rs
+++ b/crates/cumin-node/src/op.rs
@@ -259,7 +259,8 @@
         });
     let document = ctx.document();
     let services = document.services.keys();
-    let endpoints = services.map(|service| (service.clone(), ctx.fleet.candidates(service).len()));
+    let endpoints =
+        services.map(|service| (service.clone(), ctx.fleet.candidates(ctx, service).len()));
     StatusReport {
         node: ctx.settings.name.clone(),
         revision,
--- a/crates/cumin-node/src/request.rs
+++ b/crates/cumin-node/src/request.rs
@@ -8,6 +8,6 @@
 mod takeover;
 
 pub(crate) use active::{ActiveRequest, Command, ReaderGuard, RequestTable};
-pub(crate) use completion::QUARANTINED;
+pub(crate) use completion::{ENDPOINTS_WAIT, QUARANTINED};
 pub(crate) use replica::{Replicator, assign_second};
 pub(crate) use takeover::{find, hand_over, release, start, take_over};
--- a/crates/cumin-node/src/request/completion.rs
+++ b/crates/cumin-node/src/request/completion.rs
@@ -1,8 +1,10 @@
 //! Runs a completion: makes attempts one after another until the answer is complete.
 
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::ResponseHead;
 use cumin_request::{AttemptFailure, Finish, FrameResult, NextStep};
 use cumin_retry::{RetryDecision, Selection, Verdict};
 use cumin_types::{AttemptId, Call, Millis, Outcome};
@@ -11,6 +13,7 @@
 use super::{ActiveRequest, Command, replica};
 use crate::fleet::SelectedEndpoint;
 use crate::node::Ctx;
+use crate::statement;
 
 /// Longest answer, in bytes; bounds the memory of a request whose engine never stops.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -18,6 +21,9 @@
 /// Error code of a request that was rejected because it crashes endpoints.
 pub(crate) const QUARANTINED: &str = "quarantined";
 
+/// Reason of the end of a request whose possible endpoints all want nothing for a time.
+pub(crate) const ENDPOINTS_WAIT: &str = "endpoints_wait";
+
 /// How an attempt ended.
 enum AttemptResult {
     Completed(Finish),
@@ -46,7 +52,7 @@
             .begin_attempt(attempt, selected.name.clone());
         ctx.metrics.attempts.inc();
         ctx.fleet
-            .attempt_started(&selected, active, attempt, ctx.clock.now());
+            .attempt_started(ctx, &selected, active, attempt, ctx.clock.now());
         ctx.health
             .attempt_started(&service, active, &selected.name, ctx.clock.now());
         let result = run_attempt(ctx, active, &selected, attempt).await;
@@ -96,7 +102,9 @@
                 return;
             }
             AttemptResult::Failed(cause) => {
-                cancel(ctx, &selected, attempt);
+                if !was_turned_away(ctx, &selected, &cause) {
+                    cancel(ctx, &selected, attempt);
+                }
                 if !retry(ctx, active, &selected, attempt, &cause).await {
                     return;
                 }
@@ -105,6 +113,14 @@
     }
 }
 
+/// Returns whether an endpoint refused an attempt and wants nothing more, not even a cancellation.
+fn was_turned_away(ctx: &Ctx, selected: &SelectedEndpoint, cause: &AttemptFailure) -> bool {
+    matches!(
+        cause,
+        AttemptFailure::NotStarted | AttemptFailure::ErrorStatus { status: 503 }
+    ) && ctx.statements.is_waiting(&selected.name, ctx.clock.now())
+}
+
 fn failure_of(result: &AttemptResult) -> Option<AttemptFailure> {
     match result {
         AttemptResult::Failed(cause) => Some(cause.clone()),
@@ -129,6 +145,7 @@
         let wait = match ctx.health.check(&active.fingerprint, now) {
             Verdict::Clear => match ctx.fleet.select(ctx, active, preferred.as_ref(), now) {
                 Ok(selected) => return Some(selected),
+                Err(_) if refuse_all_waiting(ctx, active) => return None,
                 Err(reason) => {
                     ctx.decisions.record("wait", &active.id, &reason);
                     Millis(250)
@@ -136,6 +153,7 @@
             },
             Verdict::Suspect { .. } => match select_for_suspect(ctx, active, now) {
                 Ok(selected) => return Some(selected),
+                Err(_) if refuse_all_waiting(ctx, active) => return None,
                 Err(wait) => wait,
             },
             Verdict::Hold { until } => Millis(until.since(now)),
@@ -257,6 +275,12 @@
         return Err(AttemptFailure::Rejected { status: 400 });
     };
     let left = Millis(active.deadline.since(ctx.clock.now()));
+    let sent = ctx.clock.now();
+    let heard = |head: &ResponseHead| {
+        let source = (&active.id as &dyn Display, sent);
+        let endpoint = selected.stated_by();
+        statement::attempt_answered(ctx, endpoint, source, head.status, &head.headers);
+    };
     engine::open(engine::Options {
         connect_timeout: ctx.options.connect_timeout,
         address: selected.address,
@@ -265,6 +289,7 @@
         attempt,
         time_left: left,
         chat,
+        heard: &heard,
     })
     .await
 }
@@ -343,6 +368,9 @@
     if next != NextStep::Retry {
         return false;
     }
+    if refuse_all_waiting(ctx, active) {
+        return false;
+    }
     match ctx.health.retry(ctx, active, selected, cause) {
         RetryDecision::Retry { delay, .. } => {
             actix_rt::time::sleep(delay.duration()).await;
@@ -355,6 +383,18 @@
     }
 }
 
+/// Ends a request that has not begun if all endpoints that could run it want nothing. Returns
+/// whether it did.
+pub(super) fn refuse_all_waiting(ctx: &Rc<Ctx>, active: &ActiveRequest) -> bool {
+    let Some(wait) = ctx.fleet.all_waiting(ctx, active, ctx.clock.now()) else {
+        return false;
+    };
+    let reasons = format!("reason={ENDPOINTS_WAIT} wait_ms={wait}");
+    ctx.decisions.record("refuse", &active.id, &reasons);
+    give_up(ctx, active, ENDPOINTS_WAIT);
+    true
+}
+
 /// Ends the request without a complete answer.
 pub(super) fn give_up(ctx: &Rc<Ctx>, active: &ActiveRequest, reason: &str) {
     let finish = active.run.borrow_mut().give_up(reason);
--- a/crates/cumin-node/src/request/engine.rs
+++ b/crates/cumin-node/src/request/engine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::Method;
+use actix_http::{Method, ResponseHead};
 use cumin_http::client::{self, CallError};
 use cumin_http::connection::Answer;
 use cumin_request::{AttemptFailure, TokenCounts, Transcript};
@@ -45,6 +45,8 @@
     pub(crate) attempt: AttemptId,
     pub(crate) time_left: Millis,
     pub(crate) chat: bool,
+    /// Receives the head of the answer.
+    pub(crate) heard: &'a dyn Fn(&ResponseHead),
 }
 
 /// Sends the request; the engine continues after the tokens in the transcript.
@@ -85,6 +87,7 @@
     let answer = client::send(options.address, call, options.connect_timeout)
         .await
         .map_err(|error| send_failure(&error))?;
+    (options.heard)(&answer.head);
     let status = answer.head.status.as_u16();
     if status == 200 {
         return Ok(EventStream {
--- a/crates/cumin-node/src/request/plain.rs
+++ b/crates/cumin-node/src/request/plain.rs
@@ -10,11 +10,12 @@
 use cumin_types::{AttemptId, Call, Descriptor, Outcome, Repeat};
 use cumin_wire::header;
 
-use super::completion::{give_up, retry};
+use super::completion::{give_up, refuse_all_waiting, retry};
 use super::{ActiveRequest, engine};
 use crate::fleet::SelectedEndpoint;
 use crate::node::Ctx;
 use crate::record::ClaimResult;
+use crate::statement;
 
 /// Largest response body of a plain service, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -51,6 +52,7 @@
         }
         let selected = match ctx.fleet.select(ctx, active, None, now) {
             Ok(selected) => selected,
+            Err(_) if refuse_all_waiting(ctx, active) => return,
             Err(reason) => {
                 ctx.decisions.record("wait", &active.id, &reason);
                 let left = Duration::from_millis(active.deadline.since(now));
@@ -68,7 +70,7 @@
             .begin_attempt(attempt, selected.name.clone());
         ctx.metrics.attempts.inc();
         ctx.fleet
-            .attempt_started(&selected, active, attempt, ctx.clock.now());
+            .attempt_started(ctx, &selected, active, attempt, ctx.clock.now());
         ctx.health
             .attempt_started(&descriptor.service, active, &selected.name, ctx.clock.now());
         let response = send_call(ctx, active, descriptor, &selected, attempt).await;
@@ -150,11 +152,15 @@
         headers,
         body: Some(body.into()),
     };
+    let sent = ctx.clock.now();
     let exchange = async {
         let mut answer = client::send(selected.address, call, ctx.options.connect_timeout)
             .await
             .map_err(|error| engine::send_failure(&error))?;
-        let status = answer.head.status.as_u16();
+        let (status, headers) = (answer.head.status, &answer.head.headers);
+        let endpoint = selected.stated_by();
+        statement::attempt_answered(ctx, endpoint, (&active.id, sent), status, headers);
+        let status = status.as_u16();
         let not_started = answer.head.headers.contains_key(header::NOT_STARTED);
         if not_started || (matches!(repeat, Repeat::Idempotent) && status >= 500) {
             return Err(engine::status_failure(status, not_started));
--- a/crates/cumin-route/src/router.rs
+++ b/crates/cumin-route/src/router.rs
@@ -195,6 +195,13 @@
         self.view.id(name).map(|id| &self.view.get(id).info)
     }
 
+    /// Returns the endpoints that could take a request, other than those that it excludes.
+    #[must_use]
+    pub fn usable(&self, query: &Query) -> Vec<EndpointName> {
+        let ids = self.view.eligible(query).into_iter();
+        ids.map(|id| self.view.get(id).info.name.clone()).collect()
+    }
+
     /// Returns the endpoints of a service that serve a model, as targets for moves in a reclaim.
     #[must_use]
     pub fn reclaim_targets(&self, service: &Service, model: &Model) -> Vec<MoveTarget> {
--- a/crates/cumin-standin/src/engine.rs
+++ b/crates/cumin-standin/src/engine.rs
@@ -121,6 +121,8 @@
     pub false_load: Option<Load>,
     /// Connections break while a stream is sent.
     pub cut: Option<Cut>,
+    /// Value of the header of each answer by which the engine states whether it leaves.
+    pub leaving: Option<&'static str>,
 }
 
 impl Default for Faults {
@@ -135,6 +137,7 @@
             duplicate: false,
             false_load: None,
             cut: None,
+            leaving: None,
         }
     }
 }
--- a/crates/cumin-standin/src/engine/calls.rs
+++ b/crates/cumin-standin/src/engine/calls.rs
@@ -32,6 +32,18 @@
         if self.faults.borrow().hang {
             return host::hang().await;
         }
+        let mut reply = Rc::clone(&self).answer_call(call).await;
+        if let Some(value) = self.faults.borrow().leaving {
+            let name = HeaderName::from_static(header::LEAVING);
+            let value = HeaderValue::from_static(value);
+            reply.headers_mut().insert(name, value);
+        }
+        reply
+    }
+}
+
+impl Shared {
+    async fn answer_call(self: Rc<Self>, call: Call) -> Reply {
         let (method, parts) = call.route();
         match (method, parts.as_slice()) {
             ("POST", ["v1", "chat", "completions"]) => self.complete(&call, true).await,
@@ -63,9 +75,7 @@
             _ => host::not_found(&call),
         }
     }
-}
 
-impl Shared {
     async fn complete(self: &Rc<Self>, call: &Call, chat: bool) -> Reply {
         let request: Request = match call.json() {
             Ok(request) => request,
--- a/crates/cumin-testbed/tests/all/engine_answers.rs
+++ b/crates/cumin-testbed/tests/all/engine_answers.rs
@@ -12,7 +12,7 @@
 use crate::support::{KEY, chat, document, start};
 
 /// Starts one node with the scripted engine as the only endpoint of the model.
-async fn scripted(script: Script) -> (Testbed, Scripted) {
+pub async fn scripted(script: Script) -> (Testbed, Scripted) {
     let mut document = document();
     let name = document
         .service_of_model(&"crumb-8b".into())
@@ -36,13 +36,13 @@
     (bed, engine)
 }
 
-async fn stream(bed: &Testbed, prompt: &str) -> Streamed {
+pub async fn stream(bed: &Testbed, prompt: &str) -> Streamed {
     let answer = bed.client(KEY).chat(&chat(prompt, 6)).await;
     answer.expect("an answer of the entry")
 }
 
 /// Returns the position after which the engine is asked to continue, and the prompt.
-fn asked(request: &str) -> (u64, String) {
+pub fn asked(request: &str) -> (u64, String) {
     let body = request.split_once("\r\n\r\n").expect("a body").1;
     let body: Value = serde_json::from_str(body).expect("JSON");
     let position = body["resume"]["position"].as_u64().unwrap_or(0);
@@ -63,19 +63,19 @@
 }
 
 /// Returns the events of the tokens after `from` up to `to`, without ids and attempts.
-fn tokens(prompt: &str, from: u64, to: u64) -> String {
+pub fn tokens(prompt: &str, from: u64, to: u64) -> String {
     (from + 1..=to)
         .map(|position| event(&json!({"content": token(prompt, position)}), None))
         .collect()
 }
 
-fn rest(request: &str) -> Vec<u8> {
+pub fn rest(request: &str) -> Vec<u8> {
     let (from, prompt) = asked(request);
     let events = tokens(&prompt, from, 6) + &event(&json!({}), Some("stop")) + "data: [DONE]\n\n";
     [chunked_head(), chunk(&events), chunk("")].concat()
 }
 
-fn expected(prompt: &str) -> Vec<String> {
+pub fn expected(prompt: &str) -> Vec<String> {
     (1..=6).map(|position| token(prompt, position)).collect()
 }
 
--- a/crates/cumin-testbed/tests/all/scripted.rs
+++ b/crates/cumin-testbed/tests/all/scripted.rs
@@ -9,6 +9,7 @@
 use cumin_wire::cloud::{Instance, Kind, Market, State};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
 /// One step of the answer to a request.
 #[derive(Clone, Debug)]
@@ -29,21 +30,37 @@
     pub address: SocketAddr,
     /// Head and body of each request that the script answered.
     pub requests: Rc<RefCell<Vec<String>>>,
+    accept: JoinHandle<()>,
 }
 
 impl Scripted {
     /// Starts a server. The calls with which nodes look after an endpoint are not scripted.
     pub async fn start(script: Script) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::start_at(([127, 0, 0, 1], 0).into(), script).await
+    }
+
+    /// Starts a server at an address, such as that of one that was stopped.
+    pub async fn start_at(address: SocketAddr, script: Script) -> Self {
+        let listener = TcpListener::bind(address).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let requests = Rc::new(RefCell::new(Vec::new()));
         let log = Rc::clone(&requests);
-        actix_rt::spawn(async move {
+        let accept = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 actix_rt::spawn(serve(stream, Rc::clone(&script), Rc::clone(&log)));
             }
         });
-        Self { address, requests }
+        Self {
+            address,
+            requests,
+            accept,
+        }
+    }
+
+    /// Closes the listener.
+    pub async fn stop(self) {
+        self.accept.abort();
+        let _ = self.accept.await;
     }
 
     /// Lists the server as an instance, so that nodes use it as an endpoint.
@@ -137,6 +154,16 @@
     format!("HTTP/1.1 {status} X\r\n{kind}\r\ncontent-length: {length}\r\n\r\n{body}").into_bytes()
 }
 
+/// Returns the bytes of an answer with a length and one more header.
+pub fn answer_with(status: u16, header: (&str, &str), body: &str) -> Vec<u8> {
+    let (name, value) = header;
+    let plain = String::from_utf8(answer(status, body)).expect("text");
+    let head = format!("{status} X\r\n{name}: {value}\r\n");
+    plain
+        .replacen(&format!("{status} X\r\n"), &head, 1)
+        .into_bytes()
+}
+
 /// Returns the head of an answer in chunks.
 pub fn chunked_head() -> Vec<u8> {
     b"HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/crates/cumin-testbed/tests/all/service_answers.rs
+++ b/crates/cumin-testbed/tests/all/service_answers.rs
@@ -2,55 +2,21 @@
 
 use std::rc::Rc;
 
-use cumin_client::{PlainAnswer, PlainCall};
 use cumin_testbed::{Options, Testbed};
-use cumin_types::{Millis, Outcome};
+use cumin_types::Outcome;
 use cumin_wire::cloud::Kind;
-use uuid::Uuid;
 
 use crate::scripted::{Script, Scripted, Step, answer, chunk, chunked_head};
-use crate::support::{KEY, document, start};
+use crate::support::{bare_desk, booking, call, quote};
 
 /// Starts one node with the scripted service as the only plain one.
 async fn scripted(script: Script) -> (Testbed, Scripted) {
-    let mut document = document();
-    let desk = document.services.get_mut("oven-desk").expect("a service");
-    desk.workers.clear();
-    let mut options = Options {
-        node_count: 1,
-        engine_count: Some(1),
-        ..Options::default()
-    };
-    options.node.plain_deadline = Millis(3_000);
-    let bed = start(document, options).await;
+    let bed = bare_desk(Options::default()).await;
     let service = Scripted::start(script).await;
     service.register(&bed, Kind::Plain, "oven-desk", "hamilton");
     (bed, service)
 }
 
-fn quote(number: usize) -> PlainCall {
-    PlainCall {
-        method: "POST".into(),
-        service: "oven-desk".into(),
-        path: "quotes".into(),
-        body: format!(r#"{{"quote":{number}}}"#),
-        ..PlainCall::default()
-    }
-}
-
-fn booking() -> PlainCall {
-    PlainCall {
-        path: "bookings".into(),
-        key: Some(Uuid::now_v7()),
-        ..quote(0)
-    }
-}
-
-async fn call(bed: &Testbed, call: &PlainCall) -> PlainAnswer {
-    let answer = bed.client(KEY).call_once(call).await;
-    answer.expect("an answer of the entry")
-}
-
 /// Guards against a late copy of an answer that is taken for the answer to the next call.
 #[actix_rt::test]
 async fn late_copy() {
--- a/crates/cumin-wire/src/header.rs
+++ b/crates/cumin-wire/src/header.rs
@@ -18,3 +18,5 @@
 pub const REPLICA: &str = "x-second";
 /// `true` when an endpoint rejected a call without running any part of it.
 pub const NOT_STARTED: &str = "x-not-started";
+/// `1` on each answer of an endpoint that leaves.
+pub const LEAVING: &str = "x-leaving";
