Show in the entry's metrics how many endpoints leave

The waits of endpoints had a gauge, their leaving had none, so that an endpoint which said only in its answers that it leaves was seen in the log alone. cumin_leaving_endpoints counts those that drain as well. leaving::leaving_gauge fails while the gauge is not set; cumin-serve passes (107 tests).

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -263,6 +263,14 @@
                 .is_some()
     }
 
+    /// Returns the number of registered endpoints that drain or have stated that they leave.
+    #[must_use]
+    pub fn leaving_count(&self) -> usize {
+        self.all()
+            .filter(|endpoint| self.is_leaving(endpoint))
+            .count()
+    }
+
     /// Returns whether an endpoint is registered and may get a request at `now`.
     #[must_use]
     pub fn accepts(&self, name: &EndpointName, now: Millis) -> bool {
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -428,4 +428,6 @@
     metrics.limited.set(number(node.limits.borrow().count()));
     let waiting = node.limits.borrow().waiting(now);
     metrics.waiting.set(number(waiting));
+    let leaving = node.fleet.borrow().leaving_count();
+    metrics.leaving.set(number(leaving));
 }
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -57,6 +57,7 @@
     pub(crate) quarantined: Gauge,
     pub(crate) limited: Gauge,
     pub(crate) waiting: Gauge,
+    pub(crate) leaving: Gauge,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -85,6 +86,7 @@
             quarantined: Gauge::default(),
             limited: Gauge::default(),
             waiting: Gauge::default(),
+            leaving: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -147,16 +149,7 @@
             "Suspects of crashes that are refused",
             m.quarantined.clone(),
         );
-        registry.register(
-            "limited_endpoints",
-            "Endpoints that state a request rate as their limit",
-            m.limited.clone(),
-        );
-        registry.register(
-            "waiting_endpoints",
-            "Endpoints that want no request from this entry for a time",
-            m.waiting.clone(),
-        );
+        register_stated(&mut registry, m);
         Self {
             registry,
             ..metrics
@@ -164,6 +157,29 @@
     }
 }
 
+/// Registers how many endpoints restrict what they get by their own statements.
+fn register_stated(registry: &mut Registry, metrics: &Metrics) {
+    for (name, help, gauge) in [
+        (
+            "limited_endpoints",
+            "Endpoints that state a request rate as their limit",
+            &metrics.limited,
+        ),
+        (
+            "waiting_endpoints",
+            "Endpoints that want no request from this entry for a time",
+            &metrics.waiting,
+        ),
+        (
+            "leaving_endpoints",
+            "Registered endpoints that drain or stated that they leave",
+            &metrics.leaving,
+        ),
+    ] {
+        registry.register(name, help, gauge.clone());
+    }
+}
+
 impl Metrics {
     /// Encodes the metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
--- a/crates/cumin-serve/tests/all/leaving.rs
+++ b/crates/cumin-serve/tests/all/leaving.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::support::{
-    Endpoint, Entry, MemoryStore, Step, answer, chunk, eventually, last_chunk, run,
+    Endpoint, Entry, MemoryStore, Step, answer, chunk, eventually, last_chunk, metrics, run,
 };
 
 /// The bound of the test entries for endpoints that leave.
@@ -270,3 +270,26 @@
         assert_eq!(leaving.count(), before);
     });
 }
+
+/// Endpoints that leave could not be told from the metrics.
+#[test]
+fn leaving_gauge() {
+    run(async {
+        let leaving = Endpoint::start(vec![vec![leaving_answer()]]).await;
+        let other = Endpoint::start(vec![vec![answer(200, "x")]]).await;
+        let entry = Entry::start(&[&leaving, &other], &[]).await;
+        let shows = async |count: usize| {
+            let line = format!("cumin_leaving_endpoints {count}");
+            metrics(&entry).await.lines().any(|shown| shown == line)
+        };
+        assert!(shows(0).await);
+        while leaving.count() == 0 {
+            entry.call("GET", "/safe/x", "", "").await;
+        }
+        let heard = Instant::now();
+        while !shows(1).await {
+            assert!(heard.elapsed() < Duration::from_secs(3), "not counted");
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
