Keep the port of a scripted server that is stopped in a test

leaving::new_process failed once in 5 runs of cumin-testbed: another socket had taken the port between the stop of a server and the start of the next on it (AddrInUse). The port now stays bound without a listener, so that connections are refused and nothing else gets it. Scripted::start no longer awaits anything.

--- a/crates/cumin-testbed/tests/all/engine_answers.rs
+++ b/crates/cumin-testbed/tests/all/engine_answers.rs
@@ -31,7 +31,7 @@
         ..Options::default()
     };
     let bed = start(document, options).await;
-    let engine = Scripted::start(script).await;
+    let engine = Scripted::start(script);
     engine.register(&bed, Kind::Engine, name.as_str(), "hamilton");
     (bed, engine)
 }
--- a/crates/cumin-testbed/tests/all/entry_answers.rs
+++ b/crates/cumin-testbed/tests/all/entry_answers.rs
@@ -47,7 +47,7 @@
             0 => steps.clone(),
             _ => vec![Step::Send(answer(200, "whole answer"))],
         });
-        let entry = Scripted::start(script).await;
+        let entry = Scripted::start(script);
         let client = client(&[&entry]);
         let once = client.call_once(&booking()).await;
         assert!(once.is_err(), "{once:?}");
@@ -103,7 +103,7 @@
             let rest = tokens(4, 6) + END;
             vec![Step::Send([head("r1"), chunk(&rest), chunk("")].concat())]
         });
-        let entry = Scripted::start(script).await;
+        let entry = Scripted::start(script);
         let client = client(&[&entry]);
         let streamed = client.chat(&chat("rye", 6)).await.expect("an answer");
         assert_eq!(streamed.text(), "t1 t2 t3 t4 t5 t6 ");
@@ -124,7 +124,7 @@
         ],
         _ => vec![Step::Send(answer(404, ""))],
     });
-    let entry = Scripted::start(script).await;
+    let entry = Scripted::start(script);
     let streamed = client(&[&entry]).chat(&chat("rye", 6)).await;
     assert!(streamed.is_err(), "{streamed:?}");
 }
--- a/crates/cumin-testbed/tests/all/leaving.rs
+++ b/crates/cumin-testbed/tests/all/leaving.rs
@@ -23,8 +23,8 @@
     options
 }
 
-async fn desk(bed: &Testbed, script: Script) -> Scripted {
-    let service = Scripted::start(script).await;
+fn desk(bed: &Testbed, script: Script) -> Scripted {
+    let service = Scripted::start(script);
     service.register(bed, Kind::Plain, "oven-desk", "hamilton");
     service
 }
@@ -60,8 +60,8 @@
 async fn last_choice() {
     for status in [200, 404, 503] {
         let bed = bare_desk(options()).await;
-        let leaving = desk(&bed, leaving(status, "1")).await;
-        let _other = desk(&bed, sound()).await;
+        let leaving = desk(&bed, leaving(status, "1"));
+        let _other = desk(&bed, sound());
         call_for(&bed, Duration::from_secs(1)).await;
         let requests = leaving.requests.borrow().len();
         assert_eq!(requests, 1, "after {status}");
@@ -73,7 +73,7 @@
 #[actix_rt::test]
 async fn only_endpoint() {
     let bed = bare_desk(options()).await;
-    let service = desk(&bed, leaving(200, "1")).await;
+    let service = desk(&bed, leaving(200, "1"));
     assert_eq!(call(&bed, &quote(0)).await.status, 200);
     let stated = Instant::now();
     while stated.elapsed() < LEAVE_TIME / 4 {
@@ -91,13 +91,12 @@
 #[actix_rt::test]
 async fn new_process() {
     let bed = bare_desk(options()).await;
-    let service = desk(&bed, leaving(200, "1")).await;
+    let service = desk(&bed, leaving(200, "1"));
     assert_eq!(call(&bed, &quote(0)).await.status, 200);
     sleep(LEAVE_TIME).await;
-    let address = service.address;
-    service.stop().await;
+    let reserved = service.stop().await;
     sleep(Duration::from_millis(500)).await;
-    let service = Scripted::start_at(address, sound()).await;
+    let service = Scripted::start_on(reserved, sound());
     assert_eq!(call(&bed, &quote(1)).await.status, 200);
     assert_eq!(service.requests.borrow().len(), 1);
 }
@@ -122,7 +121,7 @@
         // The stream then stalls.
         vec![Step::Send([head.as_bytes(), &event].concat())]
     });
-    let engine = Scripted::start(script).await;
+    let engine = Scripted::start(script);
     engine.register(&bed, Kind::Engine, name, "hamilton");
     let started = Instant::now();
     while engine.requests.borrow().is_empty() && started.elapsed() < Duration::from_secs(3) {
@@ -147,7 +146,7 @@
 async fn other_values() {
     for value in ["0", "", "yes", "1.0", "NaN"] {
         let bed = bare_desk(options()).await;
-        let service = desk(&bed, leaving(200, value)).await;
+        let service = desk(&bed, leaving(200, value));
         assert_eq!(call(&bed, &quote(0)).await.status, 200);
         sleep(LEAVE_TIME + Duration::from_millis(50)).await;
         assert_eq!(call(&bed, &quote(1)).await.status, 200, "{value:?}");
--- a/crates/cumin-testbed/tests/all/retry_after.rs
+++ b/crates/cumin-testbed/tests/all/retry_after.rs
@@ -32,8 +32,8 @@
     (script, arrivals)
 }
 
-async fn desk(bed: &Testbed, script: Script) -> Scripted {
-    let service = Scripted::start(script).await;
+fn desk(bed: &Testbed, script: Script) -> Scripted {
+    let service = Scripted::start(script);
     service.register(bed, Kind::Plain, "oven-desk", "hamilton");
     service
 }
@@ -55,8 +55,8 @@
 async fn plain_service() {
     let bed = bare_desk(Options::default()).await;
     let (script, arrivals) = waiting_once("1.5");
-    let _waiting = desk(&bed, script).await;
-    let _other = desk(&bed, sound()).await;
+    let _waiting = desk(&bed, script);
+    let _other = desk(&bed, sound());
     let started = Instant::now();
     let mut number = 0;
     while started.elapsed() < Duration::from_secs(4) {
@@ -88,7 +88,7 @@
         let date = HttpDate::from(SystemTime::now() + Duration::from_secs(4)).to_string();
         vec![Step::Send(answer_with(503, ("retry-after", &date), "{}"))]
     });
-    let engine = Scripted::start(script).await;
+    let engine = Scripted::start(script);
     engine.register(&bed, Kind::Engine, name, "hamilton");
     let started = Instant::now();
     let mut number = 0;
@@ -113,8 +113,8 @@
         let wait = if count == 0 { "5" } else { "30" };
         vec![Step::Send(answer_with(503, ("retry-after", wait), "later"))]
     });
-    let first = desk(&bed, Rc::clone(&script)).await;
-    let second = desk(&bed, script).await;
+    let first = desk(&bed, Rc::clone(&script));
+    let second = desk(&bed, script);
     let started = Instant::now();
     let quoted = call(&bed, &quote(0)).await;
     assert_eq!(quoted.status, 503, "{quoted:?}");
@@ -142,7 +142,7 @@
         let text = text.replacen("retry-after", "x-not-started: true\r\nretry-after", 1);
         vec![Step::Send(text.into_bytes())]
     });
-    let service = desk(&bed, script).await;
+    let service = desk(&bed, script);
     for made in [booking(), quote(0)] {
         let refused = call(&bed, &made).await;
         assert_eq!(refused.outcome, Some(Outcome::NotRun), "{refused:?}");
@@ -186,7 +186,7 @@
     for value in ["0", "-1", "soon", "NaN", ""] {
         let bed = bare_desk(Options::default()).await;
         let (script, _) = waiting_once(value);
-        let _service = desk(&bed, script).await;
+        let _service = desk(&bed, script);
         let quoted = call(&bed, &quote(0)).await;
         assert_eq!(quoted.status, 200, "{value:?}: {quoted:?}");
     }
@@ -207,7 +207,7 @@
             None => answer(200, "quoted"),
         })]
     });
-    let _service = desk(&bed, script).await;
+    let _service = desk(&bed, script);
     let together: Vec<_> = (0..3).map(quote).collect();
     join_all(together.iter().map(|made| call(&bed, made))).await;
     let before = arrivals.borrow().len();
@@ -237,7 +237,7 @@
         let (start, rest) = sent.split_at(16);
         vec![Step::Send(start.to_vec()), Step::Send(rest.to_vec())]
     });
-    let service = desk(&bed, slow).await;
+    let service = desk(&bed, slow);
     call(&bed, &quote(0)).await;
     sleep(Duration::from_millis(600)).await;
     let together: Vec<_> = (1..=20).map(quote).collect();
@@ -259,12 +259,11 @@
 async fn new_process() {
     let bed = bare_desk(Options::default()).await;
     let (script, _) = waiting_once("1e308");
-    let service = desk(&bed, script).await;
+    let service = desk(&bed, script);
     assert_eq!(call(&bed, &quote(0)).await.status, 503);
-    let address = service.address;
-    service.stop().await;
+    let reserved = service.stop().await;
     sleep(Duration::from_millis(300)).await;
-    let service = Scripted::start_at(address, sound()).await;
+    let service = Scripted::start_on(reserved, sound());
     assert_eq!(call(&bed, &quote(1)).await.status, 200);
     assert_eq!(service.requests.borrow().len(), 1);
 }
--- a/crates/cumin-testbed/tests/all/scripted.rs
+++ b/crates/cumin-testbed/tests/all/scripted.rs
@@ -8,7 +8,7 @@
 use cumin_testbed::Testbed;
 use cumin_wire::cloud::{Instance, Kind, Market, State};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// One step of the answer to a request.
@@ -35,13 +35,13 @@
 
 impl Scripted {
     /// Starts a server. The calls with which nodes look after an endpoint are not scripted.
-    pub async fn start(script: Script) -> Self {
-        Self::start_at(([127, 0, 0, 1], 0).into(), script).await
+    pub fn start(script: Script) -> Self {
+        Self::start_on(reserve(([127, 0, 0, 1], 0).into()), script)
     }
 
-    /// Starts a server at an address, such as that of one that was stopped.
-    pub async fn start_at(address: SocketAddr, script: Script) -> Self {
-        let listener = TcpListener::bind(address).await.expect("a port");
+    /// Starts a server on a reserved address, such as that of one that was stopped.
+    pub fn start_on(socket: TcpSocket, script: Script) -> Self {
+        let listener = socket.listen(1024).expect("a listener");
         let address = listener.local_addr().expect("an address");
         let requests = Rc::new(RefCell::new(Vec::new()));
         let log = Rc::clone(&requests);
@@ -57,10 +57,13 @@
         }
     }
 
-    /// Closes the listener.
-    pub async fn stop(self) {
+    /// Closes the listener, and returns its address reserved: connections to it are refused, and no
+    /// other test gets it.
+    pub async fn stop(self) -> TcpSocket {
+        let socket = reserve(self.address);
         self.accept.abort();
         let _ = self.accept.await;
+        socket
     }
 
     /// Lists the server as an instance, so that nodes use it as an endpoint.
@@ -80,6 +83,14 @@
     }
 }
 
+/// Binds an address without listening on it.
+fn reserve(address: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseport(true).expect("an option");
+    socket.bind(address).expect("a port");
+    socket
+}
+
 async fn serve(mut stream: TcpStream, script: Script, log: Rc<RefCell<Vec<String>>>) {
     let mut input = Vec::new();
     let mut late = Vec::new();
--- a/crates/cumin-testbed/tests/all/service_answers.rs
+++ b/crates/cumin-testbed/tests/all/service_answers.rs
@@ -12,7 +12,7 @@
 /// Starts one node with the scripted service as the only plain one.
 async fn scripted(script: Script) -> (Testbed, Scripted) {
     let bed = bare_desk(Options::default()).await;
-    let service = Scripted::start(script).await;
+    let service = Scripted::start(script);
     service.register(&bed, Kind::Plain, "oven-desk", "hamilton");
     (bed, service)
 }
