--- a/crates/cumin-http/src/lib.rs
+++ b/crates/cumin-http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chunks;
 pub mod client;
 pub mod connection;
+pub mod statement;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/cumin-node/src/metrics.rs
+++ b/crates/cumin-node/src/metrics.rs
@@ -29,6 +29,8 @@
     requests: Family<OutcomeLabels, Counter>,
     pub(crate) running: Gauge<i64, AtomicI64>,
     pub(crate) settled: Gauge<i64, AtomicI64>,
+    leaving: Gauge<i64, AtomicI64>,
+    waiting: Gauge<i64, AtomicI64>,
     pub(crate) attempts: Counter,
     pub(crate) tokens: Counter,
     pub(crate) dropped_frames: Counter,
@@ -47,6 +49,8 @@
             requests: Family::default(),
             running: Gauge::default(),
             settled: Gauge::default(),
+            leaving: Gauge::default(),
+            waiting: Gauge::default(),
             attempts: Counter::default(),
             tokens: Counter::default(),
             dropped_frames: Counter::default(),
@@ -63,17 +67,27 @@
             "Requests ended, by outcome",
             metrics.requests.clone(),
         );
-        registry.register(
-            "requests_running",
-            "Requests in progress",
-            metrics.running.clone(),
-        );
-        registry.register(
-            "shares_settled",
-            "1 while every other node has received this node's demand, 0 while its shares of the \
-             quotas are the least",
-            metrics.settled.clone(),
-        );
+        for (name, help, gauge) in [
+            ("requests_running", "Requests in progress", &metrics.running),
+            (
+                "shares_settled",
+                "1 while every other node has received this node's demand, 0 while its shares of \
+                 the quotas are the least",
+                &metrics.settled,
+            ),
+            (
+                "endpoints_leaving",
+                "Endpoints that stated that they leave",
+                &metrics.leaving,
+            ),
+            (
+                "endpoints_waiting",
+                "Endpoints that want nothing from this node at present",
+                &metrics.waiting,
+            ),
+        ] {
+            registry.register(name, help, gauge.clone());
+        }
         for (name, help, counter) in [
             ("attempts", "Attempts sent to endpoints", &metrics.attempts),
             ("tokens", "Tokens accepted from endpoints", &metrics.tokens),
@@ -117,6 +131,12 @@
         }
     }
 
+    /// Sets how many endpoints stated that they leave, and how many want nothing.
+    pub(crate) fn set_stated(&self, leaving: usize, waiting: usize) {
+        self.leaving.set(i64::try_from(leaving).unwrap_or(i64::MAX));
+        self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request that ended.
     pub(crate) fn request_ended(&self, outcome: Outcome) {
         let outcome = match outcome {
