Decide how many bytes an entry may hold for callers

memory_mb was read and used nowhere, so any number of bodies was accepted at once. MemoryBudget derives a number of bytes from it (0.9 of the memory, less 32 MiB, divided by 1.5), with a reserve that new requests can't take, a part for small bodies, and shares of organisations once half of the room is taken. Nothing uses it yet. The tests of cumin-entry pass (111).

--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod learn;
 pub mod leaving;
 pub mod limits;
+pub mod memory;
 pub mod outage;
 pub mod peer;
 pub mod platform;
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod learn;
 mod leaving;
 mod limits;
+mod memory;
 mod outage;
 mod quota;
 mod relay;
