Read bodies of callers only as far as the memory has room

Bodies were accepted without a bound, and each was copied into the output of its connection.

The bytes of a body are now taken before it is read. Without room nothing is read from the caller for an eighth of its time, then the request is refused with 503 (reason=memory). A stated length above the limit is refused before the body is read. A body is written from the caller's copy, and freed when it is written if nothing can be sent again. Answers that are held are counted and never refused.

The tests named "all" of the workspace pass. Relayed throughput was not measured.

--- a/crates/cumin-http/src/client.rs
+++ b/crates/cumin-http/src/client.rs
@@ -85,7 +85,7 @@
         method: call.method,
         uri,
         headers,
-        body: &call.body.unwrap_or_default(),
+        body: call.body.unwrap_or_default(),
         has_body,
         close: true,
     };
--- a/crates/cumin-http/src/connection.rs
+++ b/crates/cumin-http/src/connection.rs
@@ -17,7 +17,7 @@
     ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
     Uri,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use cumin_types::Millis;
 use derive_more::{Display, Error};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -61,7 +61,10 @@
 pub struct Connection {
     stream: TcpStream,
     input: BytesMut,
+    /// Unwritten part of a request's head.
     output: BytesMut,
+    /// Unwritten part of a request's body. It shares the memory of the caller's body.
+    body: Bytes,
     /// Whether the connection must not be reused for another request.
     unusable: bool,
     /// Whether a write failed. Later reads do not report a reset again, but a regular end.
@@ -76,7 +79,7 @@
 
 /// A request to an endpoint.
 #[derive(Debug)]
-pub struct Outbound<'a> {
+pub struct Outbound {
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -84,7 +87,7 @@
     /// Headers, with `host`.
     pub headers: HeaderMap,
     /// Body; empty if there is none.
-    pub body: &'a Bytes,
+    pub body: Bytes,
     /// Whether the caller sent a body, even an empty one.
     pub has_body: bool,
     /// Whether the endpoint should close the connection after its answer.
@@ -121,6 +124,7 @@
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
+            body: Bytes::new(),
             unusable: false,
             write_failed: false,
             requests: 0,
@@ -159,7 +163,7 @@
     pub async fn exchange(
         mut self,
         config: &ServiceConfig,
-        outbound: Outbound<'_>,
+        outbound: Outbound,
         is_own: impl Fn(&ResponseHead) -> bool,
     ) -> Result<Answer, AnswerError> {
         self.requests += 1;
@@ -180,7 +184,7 @@
         codec
             .encode(message, &mut self.output)
             .map_err(AnswerError::Closed)?;
-        self.output.extend_from_slice(outbound.body);
+        self.body = outbound.body;
         let without_body = outbound.method == Method::HEAD;
         let (mut informational, mut stray) = (0, 0);
         loop {
@@ -238,14 +242,18 @@
         let read = {
             let (mut reader, mut writer) = self.stream.split();
             loop {
-                if self.output.is_empty() {
+                if self.output.is_empty() && self.body.is_empty() {
+                    // An empty slice of the body would keep its memory.
+                    self.body = Bytes::new();
                     break reader.read_buf(&mut self.input).await;
                 }
+                let mut unwritten = (&mut self.output).chain(&mut self.body);
                 tokio::select! {
                     biased;
-                    written = writer.write_buf(&mut self.output) => if written.is_err() {
+                    written = writer.write_buf(&mut unwritten) => if written.is_err() {
                         // The endpoint may have answered and closed before it read a long body.
                         self.output.clear();
+                        self.body = Bytes::new();
                         self.unusable = true;
                         self.write_failed = true;
                     },
@@ -378,8 +386,8 @@
     pub fn into_connection(self) -> Option<Connection> {
         let connection = self.connection;
         let complete = matches!(self.body, Body::None);
-        let clean =
-            connection.input.is_empty() && connection.output.is_empty() && !connection.unusable;
+        let written = connection.output.is_empty() && connection.body.is_empty();
+        let clean = connection.input.is_empty() && written && !connection.unusable;
         (complete && self.keep_alive && clean).then_some(connection)
     }
 }
--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -141,7 +141,7 @@
         org = Some(found);
     }
     let name = org.map_or("", |org| org.name.as_str());
-    let fingerprint = Fingerprint::new(name, path, &inbound.body);
+    let fingerprint = Fingerprint::new(name, path, &inbound.body.borrow().bytes);
     let suspicion = Suspicion::new(fingerprint, &request.parts);
     let trial = check_suspects(node, &request, &suspicion)?;
     let limit = route.timeout.into_iter().chain(request.timeout).min();
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::events::EventSplitter;
 use crate::leaving;
 use crate::limit;
+use crate::memory::{Held, stated_length};
 use crate::node::Node;
 use crate::reply::{Reply, ReplyEnd};
 use crate::request::{ActiveRequest, seconds};
@@ -133,11 +134,12 @@
             last_event: events.last_id(),
         };
         let inbound = &self.inbound.head;
+        let is_last = self.attempts_sent >= self.route.attempts;
         let outbound = Outbound {
             method: inbound.method.clone(),
             uri: inbound.uri.clone(),
             headers: dialect.attempt_headers(&inbound.headers, &attempt),
-            body: &self.inbound.body,
+            body: self.outbound_body(is_last),
             has_body: self.inbound.has_body,
             close: false,
         };
@@ -174,6 +176,9 @@
             }
             None => exchange.await,
         };
+        if is_last {
+            self.inbound.body.take();
+        }
         match answer {
             Ok(answer) => {
                 self.handle_answer(answer, timeout, flight, events, reply)
@@ -186,6 +191,17 @@
         }
     }
 
+    /// Returns the body for an attempt. After the last one nothing is sent again, so the body is
+    /// freed as soon as it is written.
+    fn outbound_body(&self, is_last: bool) -> Bytes {
+        let mut body = self.inbound.body.borrow_mut();
+        if is_last {
+            std::mem::take(&mut body.bytes)
+        } else {
+            body.bytes.clone()
+        }
+    }
+
     /// Logs an attempt without a complete answer. An endpoint that sent bytes that are no answer
     /// gets a cooldown: more of them would follow.
     fn attempt_failed(&self, event: &str, flight: &InFlight<'_>, error: &AnswerError) {
@@ -283,6 +299,9 @@
                 .await;
         }
         self.answer_begun(&mut flight);
+        let org = self.org.map(|org| &org.name);
+        let stated = stated_length(&answer.head.headers).unwrap_or_default();
+        let mut share = Held::passed_on(node, org, stated.min(MAX_BODY_BYTES));
         let reading = answer.read_body(MAX_BODY_BYTES);
         let read = match timeout {
             Some(limit) => tokio::time::timeout(limit, reading).await,
@@ -303,6 +322,7 @@
                 return Ok(AttemptEnd::Broken);
             }
         };
+        share.raise(body.len());
         flight.answered = true;
         let head = Box::new(answer.head.clone());
         if head.status.is_success() {
--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -1,9 +1,11 @@
 //! HTTP/1.1 connections of callers: reads requests, has them answered, and detects disconnects.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_codec::Decoder as _;
@@ -13,6 +15,7 @@
 use actix_http::{Method, Request, RequestHead, StatusCode, Version};
 use bytes::{Buf as _, Bytes, BytesMut};
 use cumin_entry::document::Limits;
+use cumin_entry::memory::Shortage;
 use cumin_types::Millis;
 use futures_util::future::{Either, select};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -20,6 +23,8 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::time::timeout;
 
+use crate::admit::{DEFAULT_RETRY_AFTER, Refusal, refuse};
+use crate::memory::{self, Held};
 use crate::node::Node;
 use crate::reply::{ExchangeNumber, Reply, ReplyEnd};
 
@@ -39,12 +44,37 @@
 /// A complete request of a caller.
 pub(crate) struct Inbound {
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: RefCell<HeldBody>,
     pub(crate) has_body: bool,
     /// Time at which its last byte was read.
     pub(crate) received_at: Millis,
 }
 
+/// A body of a request and what it takes from the budget.
+#[derive(Default)]
+pub(crate) struct HeldBody {
+    pub(crate) bytes: Bytes,
+    /// Returned to the budget when dropped.
+    _share: Option<Held>,
+}
+
+/// A request whose head was read and whose body is being read.
+struct Unread {
+    request: Request,
+    body: BytesMut,
+    share: Option<Held>,
+}
+
+impl Unread {
+    fn new(request: Request) -> Self {
+        Self {
+            request,
+            body: BytesMut::new(),
+            share: None,
+        }
+    }
+}
+
 /// Time that a caller has to close its side after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -85,6 +115,11 @@
         let inbound = match inbound {
             ReadOutcome::Request(inbound) => *inbound,
             ReadOutcome::Closed => return Ok(()),
+            ReadOutcome::Refused(id, refusal) => {
+                let mut reply = Reply::new(&mut writer, &mut codec, true, exchange);
+                refuse(node, &id, refusal, &mut reply).await?;
+                return lingering_close(&mut reader, &mut writer).await;
+            }
             ReadOutcome::Invalid(status) => {
                 let mut reply = Reply::new(&mut writer, &mut codec, true, exchange);
                 reply
@@ -188,11 +223,13 @@
     Request(Box<Inbound>),
     Closed,
     Invalid(StatusCode),
+    /// Identifier of the request, and why its body is not read.
+    Refused(Arc<str>, Refusal),
 }
 
 /// Reads the next request.
 async fn read_request(
-    node: &Node,
+    node: &Rc<Node>,
     reader: &mut ReadHalf<'_>,
     writer: &mut WriteHalf<'_>,
     codec: &mut Codec,
@@ -203,7 +240,7 @@
     // read.
     *codec = Codec::new(node.http_config.clone());
     let mut since = node.now();
-    let mut request: Option<(Request, BytesMut)> = None;
+    let mut request: Option<Unread> = None;
     loop {
         if request.is_none() {
             skip_line_ends(input);
@@ -224,32 +261,35 @@
             };
             match (message, &mut request) {
                 (Message::Item(head), None) => {
-                    if matches!(*head.method(), Method::CONNECT)
-                        || codec.message_type() == MessageType::Stream
-                    {
-                        let head = (head, BytesMut::new());
-                        let status = StatusCode::BAD_REQUEST;
-                        return Ok(unreadable(node, Some(&head), status, "a tunnel"));
-                    }
-                    if codec.message_type() == MessageType::None {
-                        return Ok(complete_request(node, &head, BytesMut::new(), false));
-                    }
-                    if head.head().expect() && head.version() == Version::HTTP_11 {
+                    let unread = match begin_body(node, head, codec, limits).await {
+                        Ok(unread) => unread,
+                        Err(outcome) => return Ok(outcome),
+                    };
+                    let head = unread.request.head();
+                    if head.expect() && head.version == Version::HTTP_11 {
                         writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                     }
                     since = node.now();
-                    request = Some((head, BytesMut::new()));
+                    request = Some(unread);
                 }
-                (Message::Chunk(Some(bytes)), Some((_, body))) => {
-                    let too_large = body.len() + bytes.len() > limits.body_bytes;
+                (Message::Chunk(Some(bytes)), Some(unread)) => {
+                    let too_large = unread.body.len() + bytes.len() > limits.body_bytes;
                     if too_large {
                         let status = StatusCode::PAYLOAD_TOO_LARGE;
                         return Ok(unreadable(node, request.as_ref(), status, "a large body"));
                     }
-                    body.extend_from_slice(&bytes);
+                    let length = unread.body.len() + bytes.len();
+                    if let Some(share) = &mut unread.share
+                        && let Err(shortage) = share.grow_to(length)
+                    {
+                        return Ok(refuse_body(node, &unread.request, length, shortage));
+                    }
+                    unread.body.extend_from_slice(&bytes);
                 }
-                (Message::Chunk(None), Some((head, body))) => {
-                    return Ok(complete_request(node, head, std::mem::take(body), true));
+                (Message::Chunk(None), Some(_)) => {
+                    if let Some(unread) = request.take() {
+                        return Ok(complete_request(node, unread, true));
+                    }
                 }
                 (Message::Chunk(_), None) | (Message::Item(_), Some(_)) => {
                     let status = StatusCode::BAD_REQUEST;
@@ -297,6 +337,41 @@
     }
 }
 
+/// Takes the bytes of the body that follows a head.
+///
+/// # Errors
+/// If there is no body to read: the request is complete, can't be read, or is refused.
+async fn begin_body(
+    node: &Rc<Node>,
+    request: Request,
+    codec: &Codec,
+    limits: &Limits,
+) -> Result<Unread, ReadOutcome> {
+    let mut unread = Unread::new(request);
+    let framing = codec.message_type();
+    if unread.request.method() == Method::CONNECT || framing == MessageType::Stream {
+        let status = StatusCode::BAD_REQUEST;
+        return Err(unreadable(node, Some(&unread), status, "a tunnel"));
+    }
+    if framing == MessageType::None {
+        return Err(complete_request(node, unread, false));
+    }
+    let head = unread.request.head();
+    let length = memory::stated_length(&head.headers).unwrap_or_default();
+    if length > limits.body_bytes {
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        return Err(unreadable(node, Some(&unread), status, "a large body"));
+    }
+    match memory::take_body(node, head, length).await {
+        Ok(share) => {
+            unread.share = Some(share);
+            unread.body.reserve(length);
+            Ok(unread)
+        }
+        Err(shortage) => Err(refuse_body(node, &unread.request, length, shortage)),
+    }
+}
+
 /// Skips line ends before a request, which some callers send after a body, and returns whether
 /// anything follows them.
 fn skip_line_ends(input: &mut BytesMut) -> bool {
@@ -309,28 +384,49 @@
 /// Time after which reading a body fails: the longest time that callers of the users wait.
 const BODY_TIMEOUT: Millis = Millis(15_000);
 
-fn complete_request(node: &Node, request: &Request, body: BytesMut, has_body: bool) -> ReadOutcome {
+fn complete_request(node: &Node, unread: Unread, has_body: bool) -> ReadOutcome {
     ReadOutcome::Request(Box::new(Inbound {
-        head: request.head().clone(),
-        body: body.freeze(),
+        head: unread.request.head().clone(),
+        body: RefCell::new(HeldBody {
+            bytes: unread.body.freeze(),
+            _share: unread.share,
+        }),
         has_body,
         received_at: node.now(),
     }))
 }
 
+/// Refuses a request as not run because there is no room for its body.
+fn refuse_body(node: &Node, request: &Request, bytes: usize, shortage: Shortage) -> ReadOutcome {
+    let id = node.platform.dialect.parse_request(request.head()).id;
+    let memory = node.memory.borrow();
+    let detail = format!(
+        "shortage={shortage:?} body_bytes={bytes} held_bytes={} limit_bytes={}",
+        memory.held(),
+        memory.total()
+    );
+    let refusal = Refusal::unavailable(DEFAULT_RETRY_AFTER, "memory", detail);
+    ReadOutcome::Refused(id.unwrap_or_default(), refusal)
+}
+
 /// Logs a request that can't be read, with its identifier if the head was read.
 fn unreadable(
     node: &Node,
-    request: Option<&(Request, BytesMut)>,
+    request: Option<&Unread>,
     status: StatusCode,
     reason: &str,
 ) -> ReadOutcome {
-    let id = request.and_then(|(head, _)| node.platform.dialect.parse_request(head.head()).id);
+    let id = request.and_then(|unread| {
+        node.platform
+            .dialect
+            .parse_request(unread.request.head())
+            .id
+    });
     log::info!(
         "event=unreadable_request id={} status={} body_bytes={} reason={reason:?}",
         id.as_deref().unwrap_or_default(),
         status.as_u16(),
-        request.map_or(0, |(_, body)| body.len())
+        request.map_or(0, |unread| unread.body.len())
     );
     ReadOutcome::Invalid(status)
 }
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -428,4 +428,7 @@
     metrics.limited.set(number(node.limits.borrow().count()));
     let waiting = node.limits.borrow().waiting(now);
     metrics.waiting.set(number(waiting));
+    let memory = node.memory.borrow();
+    metrics.held_bytes.set(number(memory.held()));
+    metrics.held_limit.set(number(memory.total()));
 }
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -17,6 +17,7 @@
 mod idle;
 mod leaving;
 mod limit;
+mod memory;
 mod metrics;
 mod node;
 mod quarantine;
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -57,6 +57,8 @@
     pub(crate) quarantined: Gauge,
     pub(crate) limited: Gauge,
     pub(crate) waiting: Gauge,
+    pub(crate) held_bytes: Gauge,
+    pub(crate) held_limit: Gauge,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -85,6 +87,8 @@
             quarantined: Gauge::default(),
             limited: Gauge::default(),
             waiting: Gauge::default(),
+            held_bytes: Gauge::default(),
+            held_limit: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -147,24 +151,39 @@
             "Suspects of crashes that are refused",
             m.quarantined.clone(),
         );
+        m.register_bounds(&mut registry);
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+}
+
+impl Metrics {
+    /// Registers the gauges of limits: those of endpoints, and that of the memory.
+    fn register_bounds(&self, registry: &mut Registry) {
         registry.register(
             "limited_endpoints",
             "Endpoints that state a request rate as their limit",
-            m.limited.clone(),
+            self.limited.clone(),
         );
         registry.register(
             "waiting_endpoints",
             "Endpoints that want no request from this entry for a time",
-            m.waiting.clone(),
+            self.waiting.clone(),
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes of bodies and of answers that are held for callers",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "held_limit_bytes",
+            "Bytes that may be held for callers",
+            self.held_limit.clone(),
         );
-        Self {
-            registry,
-            ..metrics
-        }
     }
-}
 
-impl Metrics {
     /// Encodes the metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
         let mut output = String::new();
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -9,6 +9,7 @@
 use cumin_entry::document::{Document, Table};
 use cumin_entry::fleet::Fleet;
 use cumin_entry::limits::RateLimits;
+use cumin_entry::memory::{MemoryBudget, MemoryOptions};
 use cumin_entry::outage::{Absence, Reads, Timeline};
 use cumin_entry::peer::{Peers, spread_addresses};
 use cumin_entry::platform::{Clock, Cloud, Codec, Dialect, Store, Stream};
@@ -119,6 +120,10 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) suspects: RefCell<Suspects>,
     pub(crate) limits: RefCell<RateLimits>,
+    /// Bytes that are held for callers.
+    pub(crate) memory: RefCell<MemoryBudget>,
+    /// Notified when held bytes are returned.
+    pub(crate) memory_notify: Notify,
     /// Endpoints of which it is being checked whether they crashed.
     pub(crate) checks: RefCell<HashMap<EndpointName, Check>>,
     pub(crate) peers: RefCell<Peers>,
@@ -138,6 +143,10 @@
 impl Node {
     pub(crate) fn new(settings: Settings, platform: Platform, page_socket: UdpSocket) -> Self {
         let (now, wall) = (platform.clock.now(), platform.clock.wall());
+        let memory = MemoryOptions {
+            memory_mb: settings.memory_mb,
+            ..MemoryOptions::default()
+        };
         let options = SelectorOptions {
             place: settings.place.clone(),
             node: settings.node.to_string(),
@@ -165,6 +174,8 @@
             usage: RefCell::default(),
             suspects: RefCell::default(),
             limits: RefCell::new(RateLimits::new(settings.node.clone())),
+            memory: RefCell::new(MemoryBudget::new(&memory)),
+            memory_notify: Notify::new(),
             checks: RefCell::default(),
             peers: RefCell::default(),
             lease: Cell::new(None),
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod leaving;
 mod log_lines;
+mod memory_budget;
 mod requests;
 mod retry_after;
 mod silent_store;
