--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -433,4 +433,7 @@
     metrics.waiting.set(number(waiting));
     let leaving = node.fleet.borrow().leaving_count();
     metrics.leaving.set(number(leaving));
+    let memory = node.memory.borrow();
+    metrics.held_bytes.set(number(memory.held()));
+    metrics.held_limit.set(number(memory.total()));
 }
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -58,6 +58,8 @@
     pub(crate) limited: Gauge,
     pub(crate) waiting: Gauge,
     pub(crate) leaving: Gauge,
+    pub(crate) held_bytes: Gauge,
+    pub(crate) held_limit: Gauge,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -87,6 +89,8 @@
             limited: Gauge::default(),
             waiting: Gauge::default(),
             leaving: Gauge::default(),
+            held_bytes: Gauge::default(),
+            held_limit: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -149,7 +153,7 @@
             "Suspects of crashes that are refused",
             m.quarantined.clone(),
         );
-        register_stated(&mut registry, m);
+        register_bounds(&mut registry, m);
         Self {
             registry,
             ..metrics
@@ -157,8 +161,8 @@
     }
 }
 
-/// Registers how many endpoints restrict what they get by their own statements.
-fn register_stated(registry: &mut Registry, metrics: &Metrics) {
+/// Registers the gauges of limits: those that endpoints state, and that of the memory.
+fn register_bounds(registry: &mut Registry, metrics: &Metrics) {
     for (name, help, gauge) in [
         (
             "limited_endpoints",
@@ -175,6 +179,16 @@
             "Registered endpoints that drain or stated that they leave",
             &metrics.leaving,
         ),
+        (
+            "held_bytes",
+            "Bytes of bodies and of answers that are held for callers",
+            &metrics.held_bytes,
+        ),
+        (
+            "held_limit_bytes",
+            "Bytes that may be held for callers",
+            &metrics.held_limit,
+        ),
     ] {
         registry.register(name, help, gauge.clone());
     }
