Bound the line for concurrency, and claim for those that wait

Without an estimate, no more wait now than run. The claim of concurrent requests also left out those that wait, so the share could not rise to them.

quota_wait::untimed_slots and waiting_demand fail before and pass. Found in review.

--- a/crates/cumin-admit/src/admission/waiting.rs
+++ b/crates/cumin-admit/src/admission/waiting.rs
@@ -30,7 +30,14 @@
         };
         let org = self.orgs.get_mut(&request.org)?;
         let in_time = now.plus(expected.0).plus(request.estimated_duration.0) <= request.deadline;
-        let has_room = org.waiting.len() < self.options.wait_limit;
+        // Without an estimate of a request's duration, one turn of those that run is waited for.
+        let is_timed = resource != Resource::Concurrent || request.estimated_duration > Millis(0);
+        let limit_left = if is_timed {
+            self.options.wait_limit
+        } else {
+            (org.active_requests as usize).min(self.options.wait_limit)
+        };
+        let has_room = org.waiting.len() < limit_left;
         if limit == Millis(0) || expected > limit || !in_time || !has_room {
             return None;
         }
--- a/crates/cumin-admit/src/organisation.rs
+++ b/crates/cumin-admit/src/organisation.rs
@@ -51,7 +51,8 @@
     pub fn record_demand(&mut self, request: &AdmissionRequest) {
         self.observed.requests += 1.0;
         self.observed.tokens += units(request.estimated_tokens);
-        let concurrent = f64::from(self.active_requests) + 1.0;
+        let waiting = self.waiting_work().requests;
+        let concurrent = f64::from(self.active_requests) + f64::from(waiting) + 1.0;
         self.observed.concurrent = self.observed.concurrent.max(concurrent);
     }
 
--- a/crates/cumin-admit/tests/all/quota_wait.rs
+++ b/crates/cumin-admit/tests/all/quota_wait.rs
@@ -201,6 +201,63 @@
     assert_eq!(admission.next_ticket(Millis(5000)), None);
 }
 
+/// Returns a request whose duration is not known.
+fn untimed(number: u128) -> AdmissionRequest {
+    AdmissionRequest {
+        estimated_duration: Millis(0),
+        ..request(number, "bakers")
+    }
+}
+
+/// Guards against a line for concurrency without end where the duration of requests is not known:
+/// no more wait than run.
+#[test]
+fn untimed_slots() {
+    let quota = Quota {
+        concurrent: Some(2),
+        ..Quota::default()
+    };
+    let mut admission = patient(&[("bakers", quota)]);
+    let mut running = Vec::new();
+    for number in 0..2 {
+        match admission.admit(&untimed(number), Millis(0)) {
+            Decision::Run(ticket) => running.push(ticket),
+            other => panic!("not run: {other}"),
+        }
+    }
+    for number in 2..4 {
+        let decision = admission.admit(&untimed(number), Millis(0));
+        assert!(matches!(decision, Decision::Wait(_)), "{decision}");
+    }
+    let decision = admission.admit(&untimed(4), Millis(0));
+    assert!(matches!(decision, Decision::Refuse(_)), "{decision}");
+    admission.finish(running.remove(0), TokenCount(1), Millis(10));
+    let next = admission.next_ticket(Millis(10)).expect("a free place");
+    assert_eq!(next.id, untimed(2).id);
+    assert_eq!(admission.next_ticket(Millis(10)), None);
+}
+
+/// Guards against a claim that leaves out the requests that wait, so that the share never rises to
+/// what they need.
+#[test]
+fn waiting_demand() {
+    let quota = Quota {
+        concurrent: Some(4),
+        ..Quota::default()
+    };
+    let mut admission = patient(&[("bakers", quota)]);
+    let mut running = Vec::new();
+    for number in 0..7 {
+        if let Decision::Run(ticket) = admission.admit(&untimed(number), Millis(0)) {
+            running.push(ticket);
+        }
+    }
+    assert_eq!(running.len(), 4);
+    let report = admission.demand_report(Millis(60_000));
+    let claim = report.orgs.values().next().expect("an organisation");
+    assert!(claim.concurrent > 6.9, "{claim:?}");
+}
+
 proptest! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(1),
