Return a ticket whose caller left before it was received

A caller that left between the moment its queued request was given a ticket and the moment it read it took the ticket along: the slot and the place in the quota stayed taken for good. The guard of a queued request now owns the channel and returns such a ticket. Requests that were dropped because their turn came too late are reported in the same call, not at the next period.

Found by reading in review; no test reaches the moment between both.

--- a/crates/cumin-node/src/admission.rs
+++ b/crates/cumin-node/src/admission.rs
@@ -59,10 +59,12 @@
     has_settled: Cell<bool>,
 }
 
-/// Removes a queued request on drop, if it is still queued, as when its caller disconnects.
+/// A queued request. On drop, as when its caller disconnects, it is removed if it is still queued,
+/// and its ticket is returned if that was not received.
 struct QueueGuard<'a> {
     ctx: &'a Rc<Ctx>,
     id: RequestId,
+    receiver: oneshot::Receiver<Result<Ticket, Dropped>>,
 }
 
 impl Drop for QueueGuard<'_> {
@@ -74,6 +76,8 @@
                 .borrow_mut()
                 .cancel(self.id, self.ctx.clock.now());
             control.process_queue(self.ctx);
+        } else if let Ok(Ok(ticket)) = self.receiver.try_recv() {
+            control.finish(self.ctx, ticket, TokenCount(0));
         }
     }
 }
@@ -123,22 +127,23 @@
             Decision::Queue(_) => None,
             Decision::Wait(wait) => Some(wait.estimated_wait),
         };
-        let (sender, mut receiver) = oneshot::channel();
+        let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(request.id, sender);
-        let _guard = QueueGuard {
+        let mut guard = QueueGuard {
             ctx,
             id: request.id,
+            receiver,
         };
         self.process_queue(ctx);
         if let Some(wait) = quota_wait {
             // The queue is processed as soon as the quota is expected to have room.
-            let early = actix_rt::time::timeout(wait.duration(), &mut receiver).await;
+            let early = actix_rt::time::timeout(wait.duration(), &mut guard.receiver).await;
             if let Ok(result) = early {
                 return admitted(result);
             }
             self.process_queue(ctx);
         }
-        admitted(receiver.await)
+        admitted((&mut guard.receiver).await)
     }
 
     /// Returns the ticket of a request that has ended and used `used` tokens.
@@ -167,18 +172,25 @@
         self.waiters.borrow().len()
     }
 
+    /// Reports the requests that admission has dropped to their callers.
+    fn report_dropped(&self, ctx: &Rc<Ctx>, now: Millis) {
+        let dropped = self.admission.borrow_mut().expire(now);
+        for request in dropped {
+            ctx.decisions.record("drop", &request.id, &request);
+            if let Some(sender) = self.waiters.borrow_mut().remove(&request.id) {
+                let _ = sender.send(Err(request));
+            }
+        }
+    }
+
     /// Drops the expired requests of the queue and admits those that may run.
     fn process_queue(&self, ctx: &Rc<Ctx>) {
         let now = ctx.clock.now();
         loop {
-            let dropped = self.admission.borrow_mut().expire(now);
-            for request in dropped {
-                ctx.decisions.record("drop", &request.id, &request);
-                if let Some(sender) = self.waiters.borrow_mut().remove(&request.id) {
-                    let _ = sender.send(Err(request));
-                }
-            }
+            self.report_dropped(ctx, now);
             let Some(ticket) = self.admission.borrow_mut().next_ticket(now) else {
+                // Requests that were too late for their turn.
+                self.report_dropped(ctx, now);
                 return;
             };
             ctx.decisions.record("admit", &ticket.id, &ticket);
