Count the wait for room as time of the caller

The deadline of a request counted from the end of its wait for room for the body, so the entry could answer up to an eighth of the caller's time after the caller had given up.

By reading, in review; cumin-serve's tests pass.

--- a/crates/cumin-serve/src/caller.rs
+++ b/crates/cumin-serve/src/caller.rs
@@ -63,6 +63,8 @@
     request: Request,
     body: BytesMut,
     share: Option<Held>,
+    /// Time that the caller has waited for room for the body.
+    waited: Millis,
 }
 
 impl Unread {
@@ -71,6 +73,7 @@
             request,
             body: BytesMut::new(),
             share: None,
+            waited: Millis(0),
         }
     }
 }
@@ -363,8 +366,9 @@
         return Err(unreadable(node, Some(&unread), status, "a large body"));
     }
     match memory::take_body(node, head, length).await {
-        Ok(share) => {
+        Ok((share, waited)) => {
             unread.share = Some(share);
+            unread.waited = waited;
             unread.body.reserve(length);
             Ok(unread)
         }
@@ -392,7 +396,7 @@
             _share: unread.share,
         }),
         has_body,
-        received_at: node.now(),
+        received_at: Millis(node.now().since(unread.waited)),
     }))
 }
 
--- a/crates/cumin-serve/src/memory.rs
+++ b/crates/cumin-serve/src/memory.rs
@@ -76,7 +76,7 @@
 }
 
 /// Takes the bytes of a body before it is read, and waits for a part of the caller's time if there
-/// is no room. Meanwhile nothing is read from the caller.
+/// is no room. Meanwhile nothing is read from the caller. Returns also how long it waited.
 ///
 /// # Errors
 /// If there is no room in time.
@@ -84,7 +84,7 @@
     node: &Rc<Node>,
     head: &RequestHead,
     bytes: usize,
-) -> Result<Held, Shortage> {
+) -> Result<(Held, Millis), Shortage> {
     let request = node.platform.dialect.parse_request(head);
     let table = node.table();
     let known = table.as_deref().zip(request.key.as_deref());
@@ -96,13 +96,14 @@
         bytes: 0,
     };
     let shortage = match share.grow_to(bytes) {
-        Ok(()) => return Ok(share),
+        Ok(()) => return Ok((share, Millis(0))),
         Err(Shortage::TooLarge) => return Err(Shortage::TooLarge),
         Err(shortage) => shortage,
     };
     node.memory.borrow_mut().wait_begun(&org);
     let _waiting = Waiting(node, &org);
     let limit = Millis(request.timeout.unwrap_or(DEFAULT_TIMEOUT).0 / WAIT_DIVISOR);
+    let since = node.now();
     let room = async {
         loop {
             let released = node.memory_notify.notified();
@@ -113,5 +114,6 @@
         }
     };
     let room = tokio::time::timeout(limit.duration(), room).await;
-    room.map_err(|_| shortage)
+    let share = room.map_err(|_| shortage)?;
+    Ok((share, Millis(node.now().since(since))))
 }
