End a wait that an endpoint asked for no earlier than it asked

The clock of the node truncates to milliseconds, so the end of a wait could come up to one millisecond early. The end is rounded up.

Not changed: the entry on the users' platform rounds in the same way; there two requests may come early.

--- a/crates/cumin-node/src/statement.rs
+++ b/crates/cumin-node/src/statement.rs
@@ -257,7 +257,9 @@
     }
     let now = ctx.clock.now();
     let mut waits = ctx.statements.waits.borrow_mut();
-    if waits.stated(name, process, now.plus(wait.0), now) {
+    // The clock leaves out the part of a millisecond in which the answer came.
+    let until = now.plus(wait.0).plus(1);
+    if waits.stated(name, process, until, now) {
         let reasons = format!("reason=retry_after wait_ms={wait} answer={source}");
         ctx.decisions.record("wait_endpoint", name, &reasons);
     }
