Send digests to a few nodes at a time, and old suspects in one round of four

Cause: with 66 nodes a digest of 2.9 kB went to all of them at one moment, four times a second. On links of 10 Mbit/s this took 60% of the link, and requests and events waited behind each burst (order-place: p50 48 ms at the entry, 115 ms at the caller). Two thirds of each digest were suspects of crashes that every node knew already. Change: nodes get their digests in groups of 4, spread over the interval, each with current content; the digest that announces a stop still goes to all at once. Suspects that changed more than a second ago are stated in one round of four, at different rounds by different nodes.

--- a/crates/cumin-entry/src/suspects.rs
+++ b/crates/cumin-entry/src/suspects.rs
@@ -51,6 +51,9 @@
 /// quarantine is stated as long as it is known, for nodes that start.
 const NEWS_TIME: Millis = Millis(10_000);
 
+/// Time for which every digest states what is new of a suspect.
+const FRESH_TIME: Millis = Millis(1000);
+
 /// Maximum number of suspects of each kind in a digest: half of them those of the most crashes,
 /// the others those that changed last.
 const MAX_STATED: usize = 32;
@@ -395,18 +398,21 @@
     /// Returns the suspects to state in a digest.
     #[must_use]
     pub fn stated(&self, now: Millis) -> Stated {
-        let mut stated = Stated::default();
         let known = self.known.iter();
-        let live = known.filter(|(_, record)| record.is_stated(now));
-        let (requests, parts): (Vec<_>, Vec<_>) =
-            live.partition(|(suspect, _)| matches!(suspect, Suspect::Request(_)));
-        for (suspect, record) in most_relevant(requests)
-            .into_iter()
-            .chain(most_relevant(parts))
-        {
-            record.state(*suspect, now, &mut stated);
-        }
-        stated
+        state_all(known.filter(|(_, record)| record.is_stated(now)), now)
+    }
+
+    /// Returns the suspects that changed within the last second, to state in a digest.
+    ///
+    /// A second covers several digests of every node that knows of the change, so that all nodes
+    /// learn of it at once although digests are lost.
+    #[must_use]
+    pub fn news(&self, now: Millis) -> Stated {
+        let known = self.known.iter();
+        state_all(
+            known.filter(|(_, record)| record.age(now) < FRESH_TIME),
+            now,
+        )
     }
 
     /// Returns one suspect as it is stated; nothing if it is not known.
@@ -466,6 +472,23 @@
     }
 }
 
+/// States the most relevant of the chosen suspects.
+fn state_all<'a>(
+    chosen: impl Iterator<Item = (&'a Suspect, &'a SuspectRecord)>,
+    now: Millis,
+) -> Stated {
+    let mut stated = Stated::default();
+    let (requests, parts): (Vec<_>, Vec<_>) =
+        chosen.partition(|(suspect, _)| matches!(suspect, Suspect::Request(_)));
+    for (suspect, record) in most_relevant(requests)
+        .into_iter()
+        .chain(most_relevant(parts))
+    {
+        record.state(*suspect, now, &mut stated);
+    }
+    stated
+}
+
 /// Returns the suspects of the most crashes, and those that changed last.
 fn most_relevant<'a>(
     mut known: Vec<(&'a Suspect, &'a SuspectRecord)>,
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -14,8 +14,9 @@
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
+use cumin_entry::selection::SentPart;
 use cumin_entry::suspects::StatedPart;
-use cumin_types::Millis;
+use cumin_types::{Millis, score};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -34,7 +35,7 @@
 const MIN_INTERVAL_MS: u64 = 100;
 const MAX_INTERVAL_MS: u64 = 250;
 
-/// One digest in this many states the counts of all kept usage windows.
+/// One round of digests in this many states the counts of all kept usage windows.
 const FULL_USAGE_PERIOD: u64 = 4;
 
 /// Maximum size of a received datagram.
@@ -57,51 +58,145 @@
 }
 
 /// Sends digests to all known nodes; does not return.
+///
+/// Load pattern: many nodes with slow links. A digest to all of them at once occupies the link for
+/// longer than a request takes, and what callers send and get waits behind it. The nodes are
+/// therefore divided into groups that get their digests one after the other, each with current
+/// content. Only the one that announces a stop goes to all groups at once.
 pub(crate) async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let now = node.now();
     for seed in &node.settings.seeds {
         node.peers.borrow_mut().add_contact(*seed, now);
     }
-    let mut sequence = 0;
-    loop {
-        tokio::select! {
-            () = tokio::time::sleep(digest_interval(&node).duration()) => {}
-            () = stop_begins(&node, sequence) => {}
-        }
-        sequence += 1;
+    let mut rounds = Rounds::new(&node);
+    let mut at_once = false;
+    'rounds: loop {
         update_from_peers(&node);
         crash::review(&node);
-        let mut digest = own_digest(&node, sequence);
-        let stated = node.suspects.borrow().stated(node.now());
+        let contacts = other_contacts(&node);
+        let groups: Vec<&[IpAddr]> = contacts.chunks(GROUP_SIZE).collect();
+        let interval = digest_interval(&node);
+        let step = Millis((interval.0 / (groups.len() as u64).max(1)).max(1));
+        rounds.begin(groups.len());
+        for (index, group) in groups.iter().enumerate() {
+            if let Some(payload) = rounds.payload(&node, index) {
+                send_to(&node, &socket, &payload, group).await;
+            }
+            if !at_once && stop_begins_within(&node, step, rounds.round).await {
+                at_once = true;
+                continue 'rounds;
+            }
+        }
+        if (at_once || groups.is_empty()) && stop_begins_within(&node, interval, rounds.round).await
+        {
+            continue 'rounds;
+        }
+        at_once = false;
+    }
+}
+
+/// Number of nodes that get a digest at the same time.
+const GROUP_SIZE: usize = 4;
+
+/// One round in this many states all suspects, the others only those with news: most digests would
+/// otherwise consist of suspects that every node knows.
+const FULL_SUSPECTS_PERIOD: u64 = 4;
+
+/// Maximum number of sent parts that wait for the next digest to a group.
+const MAX_UNSENT_PARTS: usize = 64;
+
+/// Progress of the rounds in which all groups of nodes get a digest.
+struct Rounds {
+    round: u64,
+    /// Number of the last digest.
+    sequence: u64,
+    /// Offset of this node's rounds with all suspects, so that nodes which start together do not
+    /// send their largest digests together.
+    offset: u64,
+    /// Prompt parts that were sent to endpoints and not yet stated, by group.
+    unsent: Vec<Vec<SentPart>>,
+}
+
+impl Rounds {
+    fn new(node: &Node) -> Self {
+        let name = node.settings.node.as_str();
+        Self {
+            round: 0,
+            sequence: 0,
+            offset: score(name.as_bytes(), "suspects") % FULL_SUSPECTS_PERIOD,
+            unsent: Vec::new(),
+        }
+    }
+
+    fn begin(&mut self, groups: usize) {
+        self.round += 1;
+        self.unsent.resize(groups, Vec::new());
+    }
+
+    /// Returns the next digest for a group; `None` if it cannot be encoded.
+    fn payload(&mut self, node: &Node, group: usize) -> Option<Vec<u8>> {
+        self.sequence += 1;
+        let sent = node.selector.borrow_mut().take_sent_parts();
+        for list in &mut self.unsent {
+            let room = MAX_UNSENT_PARTS.saturating_sub(list.len());
+            list.extend(sent.iter().take(room).cloned());
+        }
+        let unsent = self.unsent.get_mut(group).map(std::mem::take);
+        let full = (self.round + self.offset).is_multiple_of(FULL_SUSPECTS_PERIOD);
+        let mut digest = own_digest(node, self.sequence, self.round);
+        digest.sent = unsent.unwrap_or_default();
+        let stated = {
+            let suspects = node.suspects.borrow();
+            let now = node.now();
+            if full {
+                suspects.stated(now)
+            } else {
+                suspects.news(now)
+            }
+        };
         digest.suspects = stated.requests;
         let message = Message {
             digest,
-            extension: own_extension(&node),
+            extension: own_extension(node),
             parts: stated.parts,
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
             leaving: node.fleet.borrow().stated_leaving(node.now()),
         };
-        let payload = match message.encode() {
-            Ok(payload) => payload,
+        match message.encode() {
+            Ok(payload) => Some(payload),
             Err(error) => {
                 log::error!("event=digest_unwritten error={error}");
-                continue;
-            }
-        };
-        let contacts = node.peers.borrow_mut().contacts(node.now());
-        for contact in contacts {
-            if contact == node.settings.address {
-                continue;
-            }
-            let to = SocketAddr::new(contact, node.settings.base_port);
-            if let Err(error) = socket.send_to(&payload, to).await {
-                log::debug!("event=digest_unsent to={to} error={error}");
+                None
             }
         }
     }
 }
 
+/// Returns the addresses to send digests to.
+fn other_contacts(node: &Node) -> Vec<IpAddr> {
+    let mut contacts = node.peers.borrow_mut().contacts(node.now());
+    contacts.retain(|contact| *contact != node.settings.address);
+    contacts
+}
+
+async fn send_to(node: &Node, socket: &UdpSocket, payload: &[u8], group: &[IpAddr]) {
+    for contact in group {
+        let to = SocketAddr::new(*contact, node.settings.base_port);
+        if let Err(error) = socket.send_to(payload, to).await {
+            log::debug!("event=digest_unsent to={to} error={error}");
+        }
+    }
+}
+
+/// Waits; returns early, with `true`, when a graceful stop begins.
+async fn stop_begins_within(node: &Node, time: Millis, round: u64) -> bool {
+    tokio::select! {
+        () = tokio::time::sleep(time.duration()) => false,
+        () = stop_begins(node, round) => true,
+    }
+}
+
 /// Content of a datagram. Each field was added later than the one before it.
 struct Message {
     digest: Digest,
@@ -170,11 +265,11 @@
 }
 
 /// Completes when a graceful stop begins, so that peers learn of it at once.
-async fn stop_begins(node: &Node, sequence: u64) {
+async fn stop_begins(node: &Node, round: u64) {
     loop {
         let changed = node.stop_notify.notified();
         if let Phase::Stopping(stop) = node.phase.get()
-            && sequence > 0
+            && round > 0
             && node.now().since(stop.since) < 2
         {
             // Only one digest is sent right after the signal; further ones at the usual interval.
@@ -185,9 +280,9 @@
     }
 }
 
-fn own_digest(node: &Node, sequence: u64) -> Digest {
+fn own_digest(node: &Node, sequence: u64, round: u64) -> Digest {
     let now = node.now();
-    let mut selector = node.selector.borrow_mut();
+    let selector = node.selector.borrow();
     Digest {
         node: node.settings.node.clone(),
         incarnation: node.incarnation,
@@ -204,8 +299,8 @@
             .unwrap_or_default(),
         wall: node.steady_wall(),
         loads: selector.own_loads(),
-        sent: selector.take_sent_parts(),
-        usage: if sequence.is_multiple_of(FULL_USAGE_PERIOD) {
+        sent: Vec::new(),
+        usage: if round.is_multiple_of(FULL_USAGE_PERIOD) {
             node.usage.borrow().own().clone()
         } else {
             node.usage.borrow().recent(node.usage_window())
