Read the era of the store from every answer

A store that is restored from an older copy reuses offsets. The client could not tell such offsets from valid ones, nor a read beyond the end from a read of compacted records.

--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod duty;
 pub mod engine;
+pub mod era;
 pub mod fleet;
 pub mod learn;
 pub mod leaving;
--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -18,6 +18,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::document::Document;
+use crate::era::Era;
 use crate::fleet::Endpoint;
 use crate::selection::Part;
 
@@ -59,6 +60,17 @@
     pub records: Vec<Record>,
     /// Offset to continue reading from: the end of the stream, or of this page.
     pub end: LogOffset,
+    /// Era of the store to which the offsets belong.
+    pub era: Era,
+}
+
+/// Position of an appended record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Appended {
+    /// Offset of the record.
+    pub offset: LogOffset,
+    /// Era of the store to which the offset belongs.
+    pub era: Era,
 }
 
 /// Errors of calls to the store.
@@ -79,6 +91,10 @@
         /// Oldest offset that can still be read.
         first: LogOffset,
     },
+    /// The requested offset is beyond the end of the stream: the store was restored from an older
+    /// copy.
+    #[display("the stream ends before the offset")]
+    Beyond,
     /// The call got no answer; an append may have taken effect, or may still do so.
     #[display("no answer from the store: {_0}")]
     Lost(#[error(not(source))] String),
@@ -105,7 +121,7 @@
     /// Continuing with [`read`](Self::read) at the page's end misses no record.
     fn newest(&self, stream: Stream) -> LocalFuture<'_, Result<Page, StoreError>>;
 
-    /// Appends one record and returns its offset.
+    /// Appends one record and returns its position.
     ///
     /// With `at`, the append succeeds only if the stream ends there.
     fn append(
@@ -114,7 +130,7 @@
         key: Option<&str>,
         value: Bytes,
         at: Option<LogOffset>,
-    ) -> LocalFuture<'_, Result<LogOffset, StoreError>>;
+    ) -> LocalFuture<'_, Result<Appended, StoreError>>;
 }
 
 /// Errors of calls to the cloud.
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -183,8 +183,8 @@
         let result = store.append(Stream::Duty, None, value, Some(at)).await;
         feed::count_call(&node, Stream::Duty, "append", &result);
         match result {
-            Ok(offset) => {
-                self.lease.appended(&record, offset, sent, node.now());
+            Ok(at) => {
+                self.lease.appended(&record, at.offset, sent, node.now());
                 true
             }
             Err(error) => {
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -43,6 +43,7 @@
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::Conflict { .. }) => "conflict",
         Err(StoreError::Trimmed { .. }) => "trimmed",
+        Err(StoreError::Beyond) => "beyond",
         Err(StoreError::Lost(_)) => "lost",
         Err(StoreError::Garbled(_)) => "garbled",
     };
--- a/crates/cumin-serve/src/relay.rs
+++ b/crates/cumin-serve/src/relay.rs
@@ -171,6 +171,7 @@
             .map(RelayedRecord::into_record)
             .collect(),
         end: page.end,
+        ..Page::default()
     };
     feed::apply_page(node, stream, relayed, false);
     feed.notify.notify_one();
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -1,6 +1,7 @@
 //! In-memory store, scripted endpoints, and an entry that uses them.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
@@ -8,7 +9,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cumin_entry::platform::{LocalFuture, Page, Record, Store, StoreError, Stream};
+use cumin_entry::era::Era;
+use cumin_entry::platform::{Appended, LocalFuture, Page, Record, Store, StoreError, Stream};
 use cumin_entry::quota::Tolerance;
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_platform::{HttpDialect, JsonCodec};
@@ -30,6 +32,7 @@
 #[derive(Clone, Default)]
 pub struct MemoryStore {
     records: Rc<RefCell<Vec<(Stream, Record)>>>,
+    era: Rc<Cell<Era>>,
     pub down: Rc<Cell<bool>>,
     /// Whether the connection for registrations is silent: the read in progress, or else the next
     /// one, is lost, and the one after it uses a new connection.
@@ -56,6 +59,40 @@
         offset
     }
 
+    /// Returns a copy of all records, for [`restore`](Self::restore).
+    pub fn copy(&self) -> Vec<(Stream, Record)> {
+        self.records.borrow().clone()
+    }
+
+    /// Replaces all records by an older copy, which begins an era.
+    pub fn restore(&self, copy: Vec<(Stream, Record)>) {
+        *self.records.borrow_mut() = copy;
+        self.set_era(self.era.get().0 + 1);
+    }
+
+    /// Sets the era that answers state from now on.
+    pub fn set_era(&self, era: u64) {
+        self.era.set(Era(era));
+    }
+
+    /// Returns the newest value of each key of a stream that was not removed.
+    pub fn values(&self, stream: Stream) -> BTreeMap<String, Bytes> {
+        let mut values = BTreeMap::new();
+        for record in self.page(stream, LogOffset(0)).records {
+            let key = record.key.unwrap_or_default();
+            match record.value.filter(|value| !value.is_empty()) {
+                Some(value) => values.insert(key, value),
+                None => values.remove(&key),
+            };
+        }
+        values
+    }
+
+    fn end(&self, stream: Stream) -> LogOffset {
+        let records = self.records.borrow();
+        LogOffset(records.iter().filter(|(s, _)| *s == stream).count() as u64)
+    }
+
     fn page(&self, stream: Stream, from: LogOffset) -> Page {
         let records = self.records.borrow();
         let all = records.iter().filter(|(s, _)| *s == stream);
@@ -64,7 +101,11 @@
             .filter(|record| record.offset >= from)
             .collect();
         let end = LogOffset(from.0 + records.len() as u64);
-        Page { records, end }
+        Page {
+            records,
+            end,
+            era: self.era.get(),
+        }
     }
 }
 
@@ -87,6 +128,9 @@
                 if self.down.get() {
                     return Err(StoreError::Refused("down".into()));
                 }
+                if from > self.end(stream) {
+                    return Err(StoreError::Beyond);
+                }
                 let page = self.page(stream, from);
                 if !page.records.is_empty() || Instant::now() >= until {
                     return Ok(page);
@@ -114,10 +158,18 @@
         stream: Stream,
         key: Option<&str>,
         value: Bytes,
-        _at: Option<LogOffset>,
-    ) -> LocalFuture<'_, Result<LogOffset, StoreError>> {
-        let offset = self.push(stream, key, Some(value));
-        async move { Ok(offset) }.boxed_local()
+        at: Option<LogOffset>,
+    ) -> LocalFuture<'_, Result<Appended, StoreError>> {
+        let end = self.end(stream);
+        let result = if at.is_some_and(|at| at != end) {
+            Err(StoreError::Conflict { end })
+        } else {
+            Ok(Appended {
+                offset: self.push(stream, key, Some(value)),
+                era: self.era.get(),
+            })
+        };
+        async move { result }.boxed_local()
     }
 }
 
