Keep state over a store that is restored from an older copy

An entry took the offsets, documents and registrations of a restored store for those that it knew. It could miss records, drop endpoints that had registered after the copy was made, put removed keys back in force for an entry that started, issue a lower fencing token, and report a usage window with two counts.

On a new era each entry lists the documents and the registrations again and keeps its previous state until then. An older document proves no freshness. Missing registrations get the grace as after an outage; a listing of an earlier start is ignored; statements of leaving stay. Relayed pages name their era after the proof, where older versions do not read it.

Fencing tokens are ordered by era and offset, and a claim writes its token down where a higher one was seen. The holder claims again as soon as it has read the stream, and another node one lease length after it noticed the era; a release counts in its era only. Digests carry the highest token and the highest window that may have been reported. A window that ended before a node noticed the era is reported by a new holder only with counts that the store or its memory holds.

Each entry writes its own address again. Records of quarantined suspects are written again by the entry that keeps them, or by the next ones in its order.

Without the era nothing changes but one empty byte at the end of a digest.

--- a/crates/cumin-entry/src/era.rs
+++ b/crates/cumin-entry/src/era.rs
@@ -50,6 +50,12 @@
     pub const fn token(self, offset: LogOffset) -> FencingToken {
         FencingToken((self.0 << OFFSET_BITS) + offset.0 + 1)
     }
+
+    /// Returns the era of a fencing token.
+    #[must_use]
+    pub const fn of_token(token: FencingToken) -> Self {
+        Self(token.0 >> OFFSET_BITS)
+    }
 }
 
 /// How the era of an answer relates to the newest one known.
--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -200,6 +200,19 @@
         changes
     }
 
+    /// Applies a full listing of a store that was restored from an older copy.
+    ///
+    /// Endpoints that it lacks, or lists with an earlier start than is known, are kept for
+    /// [`LAPSE_GRACE`], within which live endpoints register again.
+    pub fn apply_restored(&mut self, mut listed: Vec<Endpoint>, now: Millis) -> Vec<Change> {
+        self.store_regained(now);
+        listed.retain(|endpoint| {
+            let known = self.get(&endpoint.name);
+            known.is_none_or(|known| known.started_ms <= endpoint.started_ms)
+        });
+        self.apply_listing(listed, now)
+    }
+
     /// Removes lapsed endpoints that did not register again in time.
     pub fn remove_expired(&mut self, now: Millis) -> Vec<Change> {
         let gone: Vec<EndpointName> = self
--- a/crates/cumin-entry/src/relay.rs
+++ b/crates/cumin-entry/src/relay.rs
@@ -10,11 +10,13 @@
 //! before it sent the read. The receiver may have been suspended, or the datagram delayed; its copy
 //! is at least as new as that time.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 
 use cumin_types::{Incarnation, LogOffset, Millis, NodeName, Place, WallMillis, score};
 use serde::{Deserialize, Serialize};
 
+use crate::era::Era;
 use crate::peer::Peers;
 use crate::platform::{Record, Stream};
 
@@ -78,6 +80,10 @@
     pub partial: bool,
     /// Time since the reader regained the store after an outage, if that is recent.
     pub regained: Option<Millis>,
+    /// Era of the store to which the offsets belong. It follows the proof in the datagram, because
+    /// older versions read the proof right after the page.
+    #[serde(skip)]
+    pub era: Era,
 }
 
 /// A record of a relayed page.
@@ -145,7 +151,19 @@
         self.regained.filter(|_| lost_since.is_some())
     }
 
-    /// Returns what a node does with the page that has read up to `at`.
+    /// Returns what a node does with the page that has read up to `at` in the era `era`.
+    ///
+    /// Offsets of two eras are not compared: a node reads a new era by itself.
+    #[must_use]
+    pub fn fit_in(&self, era: Era, at: Option<LogOffset>) -> PageFit {
+        match self.era.cmp(&era) {
+            Ordering::Less => PageFit::Old,
+            Ordering::Equal => self.fit(at),
+            Ordering::Greater => PageFit::Gap,
+        }
+    }
+
+    /// Returns what a node does with the page that has read up to `at`, in the same era.
     #[must_use]
     pub fn fit(&self, at: Option<LogOffset>) -> PageFit {
         match at {
--- a/crates/cumin-entry/tests/all/duty.rs
+++ b/crates/cumin-entry/tests/all/duty.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cumin_entry::duty::{DutyLease, LeaseOptions, Record, Step};
+use cumin_entry::duty::{DutyLease, LeaseOptions, Record, Step, StoredRecord};
 use cumin_types::{Incarnation, LogOffset, Millis, NodeName};
 use proptest::prelude::*;
 
@@ -20,14 +20,14 @@
     }
 
     fn read(&self, lease: &mut DutyLease, from: LogOffset, now: Millis) {
-        let records: Vec<(LogOffset, Record)> = (from.0..)
+        let records: Vec<(LogOffset, StoredRecord)> = (from.0..)
             .zip(
                 self.0
                     .iter()
                     .skip(usize::try_from(from.0).unwrap())
                     .cloned(),
             )
-            .map(|(offset, record)| (LogOffset(offset), record))
+            .map(|(offset, record)| (LogOffset(offset), record.into()))
             .collect();
         lease.read_sent(now);
         lease.apply_read(&records, LogOffset(self.0.len() as u64), now);
@@ -77,7 +77,7 @@
         Step::Renew(at) => (renew(name), at),
     };
     match log.append(record.clone(), at) {
-        Some(offset) => lease.appended(&record, offset, now, now),
+        Some(offset) => lease.appended(&record.into(), offset, now, now),
         None => lease.mark_stale(),
     }
     true
@@ -95,7 +95,7 @@
     let now = Millis(10_000);
     assert_eq!(second.next(false, 0, now), Step::Claim(LogOffset(2)));
     let offset = log.append(claim("b"), LogOffset(2)).unwrap();
-    second.appended(&claim("b"), offset, now, now);
+    second.appended(&claim("b").into(), offset, now, now);
     assert_eq!(second.may_act(now), None);
     assert_eq!(second.next(false, 0, now), Step::Read(LogOffset(0)));
     log.read(&mut second, LogOffset(0), now);
@@ -197,7 +197,7 @@
                     let record = report(name, window, now.0);
                     let at = leases[node].end().unwrap();
                     if let Some(offset) = log.append(record.clone(), at) {
-                        leases[node].appended(&record, offset, now, now);
+                        leases[node].appended(&record.into(), offset, now, now);
                         prop_assert_eq!(fixed.insert(window, now.0), None);
                     } else {
                         leases[node].mark_stale();
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod duty;
+mod era;
 mod fleet;
 mod learn;
 mod leaving;
--- a/crates/cumin-entry/tests/all/relay.rs
+++ b/crates/cumin-entry/tests/all/relay.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use cumin_entry::era::Era;
 use cumin_entry::peer::{Digest, Extension, Peers};
 use cumin_entry::quota::TakenUnits;
 use cumin_entry::relay::{
@@ -118,6 +119,7 @@
         records: Vec::new(),
         partial,
         regained: None,
+        era: Era::default(),
     }
 }
 
--- a/crates/cumin-serve/src/crash.rs
+++ b/crates/cumin-serve/src/crash.rs
@@ -190,13 +190,20 @@
 /// Returns whether this node makes the trials of a quarantined suspect, and keeps its record: one of
 /// the live nodes does, another one for each suspect.
 pub(crate) fn makes_trials(node: &Node, suspect: Suspect) -> bool {
+    rank(node, suspect) == 0
+}
+
+/// Returns the number of live nodes that come before this one in the order, by a hash, in which
+/// nodes make the trials of a suspect and keep its record.
+pub(crate) fn rank(node: &Node, suspect: Suspect) -> usize {
     let key = suspect.to_string();
     let weight = |name: &str| score(key.as_bytes(), name);
     let own = weight(node.settings.node.as_str());
     let peers = node.peers.borrow();
     peers
         .live(node.now())
-        .all(|peer| weight(peer.digest.node.as_str()) < own)
+        .filter(|peer| weight(peer.digest.node.as_str()) >= own)
+        .count()
 }
 
 /// Decides anew which suspects are refused, and logs what changed.
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -6,14 +6,16 @@
 
 use bytes::Bytes;
 use cumin_entry::document::ServiceSpec;
-use cumin_entry::duty::{DutyLease, LeaseOptions, Record, Step};
+use cumin_entry::duty::{DutyLease, LeaseOptions, Record, Step, StoredRecord};
 use cumin_entry::engine::Demand;
-use cumin_entry::fleet::Endpoint;
+use cumin_entry::era::{Era, Marks};
+use cumin_entry::fleet::{Endpoint, LAPSE_GRACE};
 use cumin_entry::platform::{CloudError, LeaseHolder, StoreError, Stream};
 use cumin_entry::scale::{ScaleOptions, Scaler};
 use cumin_types::{FencingToken, LogOffset, Millis, Service};
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::era;
 use crate::feed;
 use crate::node::Node;
 
@@ -81,6 +83,7 @@
             self.release().await;
             return;
         }
+        self.follow_era();
         let (stated, nodes_before) = {
             let peers = self.node.peers.borrow();
             let own = &self.node.settings.node;
@@ -89,11 +92,13 @@
                 .filter(|peer| peer.digest.node < *own)
                 .count();
             let holder = peers.holder(now);
-            let stated = holder.and_then(|peer| Some((peer.digest.lease?.1, peer.heard)));
+            let stated = holder.and_then(|peer| Some((peer.digest.lease?, peer.heard)));
             (stated, nodes_before as u64)
         };
         let held_elsewhere = stated.is_some();
-        if let Some((end, at)) = stated {
+        if let Some(((token, end), at)) = stated
+            && Era::of_token(token) == self.lease.era()
+        {
             self.lease.observe_end(end, at);
         }
         match self.lease.next(held_elsewhere, nodes_before, now) {
@@ -104,7 +109,7 @@
                     node: self.node.settings.node.clone(),
                     incarnation: self.node.incarnation,
                 };
-                if self.append(record, at).await {
+                if self.append(record, at).await && !self.lease.continued() {
                     self.scalers.clear();
                 }
             }
@@ -126,12 +131,25 @@
             );
         }
         self.node.lease.set(held.zip(self.lease.last_end()));
+        self.mark(held, None);
         if self.lease.may_act(self.node.now()).is_some() {
             self.report().await;
             self.order_engines().await;
         }
     }
 
+    /// Begins an era of the store that was noticed, by this task or another one.
+    fn follow_era(&mut self) {
+        let node = &self.node;
+        let era = node.eras.get().newest();
+        if era > self.lease.era() {
+            let held = self.lease.held(node.now()).unwrap_or_default();
+            log::info!("event=duty_era era={era} token={held}");
+            self.lease.enter_era(era, node.usage_window(), node.now());
+        }
+        self.lease.observe_token(node.marks.get().token);
+    }
+
     /// Reads the stream of the lease from an offset.
     async fn read(&mut self, from: LogOffset) {
         let node = self.node.clone();
@@ -142,9 +160,11 @@
             .read(Stream::Duty, from, Millis(0))
             .await;
         feed::count_call(&node, Stream::Duty, "read", &result);
-        match result {
+        match era::checked(&node, result) {
+            // The offset belongs to an older era.
+            Ok(page) if page.era != self.lease.era() => self.follow_era(),
             Ok(page) => {
-                let records: Vec<(LogOffset, Record)> = page
+                let records: Vec<(LogOffset, StoredRecord)> = page
                     .records
                     .iter()
                     .filter_map(|record| {
@@ -164,6 +184,11 @@
                 self.lease.apply_read(&records, page.end, node.now());
             }
             Err(StoreError::Trimmed { first }) => self.lease.skip_trimmed(first),
+            Err(StoreError::Beyond) => {
+                log::info!("event=records_lost stream={} at={from}", Stream::Duty);
+                let era = self.lease.era();
+                self.lease.enter_era(era, node.usage_window(), node.now());
+            }
             Err(error) => log::warn!("event=duty_unread error={error:?}"),
         }
     }
@@ -171,6 +196,7 @@
     /// Appends a record at `at`, the end of the stream. Returns whether the store confirmed it.
     async fn append(&mut self, record: Record, at: LogOffset) -> bool {
         let node = self.node.clone();
+        let record = self.lease.stored(record, at);
         let value = match serde_json::to_vec(&record) {
             Ok(value) => Bytes::from(value),
             Err(error) => {
@@ -182,12 +208,19 @@
         let store = &node.platform.store;
         let result = store.append(Stream::Duty, None, value, Some(at)).await;
         feed::count_call(&node, Stream::Duty, "append", &result);
-        match result {
-            Ok(at) => {
-                self.lease.appended(&record, at.offset, sent, node.now());
+        match era::checked(&node, result) {
+            // The record follows others than those that were read.
+            Ok(appended) if appended.era != self.lease.era() => {
+                self.follow_era();
+                false
+            }
+            Ok(appended) => {
+                self.lease
+                    .appended(&record, appended.offset, sent, node.now());
                 true
             }
             Err(error) => {
+                let record = record.record;
                 log::info!("event=duty_append record={record:?} at={at} error={error:?}");
                 self.lease.mark_stale();
                 false
@@ -195,6 +228,16 @@
         }
     }
 
+    /// Remembers numbers that this node uses, which digests state to the others.
+    fn mark(&self, token: Option<FencingToken>, window: Option<u64>) {
+        let mut marks = self.node.marks.get();
+        marks.merge(Marks {
+            token: token.unwrap_or_default(),
+            window,
+        });
+        self.node.marks.set(marks);
+    }
+
     fn lease_holder(&self, token: FencingToken) -> LeaseHolder {
         LeaseHolder {
             node: Arc::from(self.node.settings.node.as_str()),
@@ -213,11 +256,18 @@
             }
             if self.lease.report(window).is_none() {
                 let Some(at) = self.lease.end() else { return };
+                let remembered = self.lease.remembered(window).cloned();
+                let reported = node.marks.get().window;
+                if remembered.is_none() && !self.lease.may_fix(window, reported) {
+                    self.skip(window);
+                    continue;
+                }
+                let total = || node.usage.borrow().total(window);
                 let record = Record::Report {
                     node: node.settings.node.clone(),
                     incarnation: node.incarnation,
                     window,
-                    counts: node.usage.borrow().total(window),
+                    counts: remembered.unwrap_or_else(total),
                 };
                 // The counts are fixed in the store before they are sent, so that a later holder
                 // that repeats the report sends the same counts.
@@ -230,6 +280,7 @@
                 return;
             };
             let counts = self.lease.report(window).cloned().unwrap_or_default();
+            self.mark(None, Some(window));
             let sent = cloud
                 .report_usage(&self.lease_holder(token), window, &counts)
                 .await;
@@ -247,10 +298,35 @@
         }
     }
 
+    /// Gives up a window whose report may have been sent from a record that the store has lost.
+    fn skip(&mut self, window: u64) {
+        log::warn!(
+            "event=usage_skipped window={window} era={} reported={:?}",
+            self.lease.era(),
+            self.node.marks.get().window
+        );
+        self.lease.mark_delivered(window, self.node.now());
+    }
+
+    /// Returns whether the known endpoints are those that exist, as far as the store shows.
+    ///
+    /// A node that takes over the lease in a new era waits until live endpoints have registered
+    /// again, or it would order others in their place.
+    fn fleet_known(&self) -> bool {
+        let node = &self.node;
+        let (eras, now) = (node.eras.get(), node.now());
+        let listed = node.registrations.era.get() == eras.newest();
+        let settled = now.since(eras.noticed()) >= LAPSE_GRACE.0;
+        eras.newest().is_unknown() || (listed && (settled || self.lease.continued()))
+    }
+
     /// Plans the engines of all scaled services and orders the changes.
     async fn order_engines(&mut self) {
         let node = self.node.clone();
         let now = node.now();
+        if !self.fleet_known() {
+            return;
+        }
         let version = node.fleet.borrow().version();
         if version == self.planned_version && now.since(self.planned_at) < PLAN_INTERVAL.0 {
             return;
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -10,11 +10,12 @@
 use cumin_entry::outage::{Absence, StatedSpan};
 use cumin_entry::platform::{Page, Record, StoreError, Stream};
 use cumin_entry::relay::{RelayedPage, RelayedRecord, self_read_age};
-use cumin_types::{LogOffset, Millis, NodeName};
+use cumin_types::{LogOffset, Millis, NodeName, Revision};
 
+use crate::era;
 use crate::leaving;
 use crate::metrics::StoreCallLabels;
-use crate::node::{Freshness, Node};
+use crate::node::Node;
 use crate::relay;
 
 /// Time that a read waits for a record. It is below the bound within which a document must be in
@@ -74,7 +75,7 @@
                 _ => bounds.drain,
             };
             let limit = self_read_age(&node.settings.node, bound);
-            let age = feed.freshness.get().age_ms(node.now());
+            let age = feed.freshness.get().read_age_ms(node.now());
             let left = age.map_or(0, |age| limit.0.saturating_sub(age));
             if left > 0 {
                 let time = Millis(left.min(CHECK_INTERVAL.0)).duration();
@@ -85,6 +86,10 @@
                 continue;
             }
         }
+        if feed.era.get() != node.eras.get().newest() {
+            // The offset belongs to an older era.
+            feed.at.set(None);
+        }
         let sent = node.now();
         let from = feed.at.get();
         let wait = if reader { read_wait(&node) } else { Millis(0) };
@@ -95,7 +100,9 @@
         };
         let call = if from.is_none() { "newest" } else { "read" };
         count_call(&node, stream, call, &result);
-        match result {
+        match era::checked(&node, result) {
+            // The records at this offset are other ones than in the era in which it was read.
+            Ok(page) if from.is_some() && page.era != feed.era.get() => feed.at.set(None),
             Ok(page) => {
                 retry = MIN_RETRY_PAUSE;
                 log::debug!(
@@ -120,6 +127,10 @@
                 log::info!("event=records_gone stream={stream} first={first}");
                 feed.at.set(None);
             }
+            Err(StoreError::Beyond) => {
+                log::info!("event=records_lost stream={stream}");
+                feed.at.set(None);
+            }
             Err(error) => {
                 let mut current = feed.freshness.get();
                 if current.lost_since.is_none() {
@@ -214,15 +225,14 @@
             node.now().since(since)
         );
     }
-    feed.freshness.set(Freshness {
-        as_of: state.as_of.max(Some(as_of)),
-        lost_since: None,
-    });
-    let end = page.end;
+    let (end, era) = (page.end, page.era);
     // Records before the current offset came from another reader meanwhile. They are not in what
     // is applied now, so the relayed page must not claim to cover them.
     let from = from.max(from.and(feed.at.get()));
     let records = apply_page(node, stream, page, from.is_none());
+    let mut current = feed.freshness.get();
+    current.answered(as_of, era::proves(node, stream));
+    feed.freshness.set(current);
     if let Some(from) = from
         && node.reader.get()
     {
@@ -230,6 +240,7 @@
             documents: stream == Stream::Document,
             from,
             end,
+            era,
             records,
             partial: false,
             regained: node.fleet.borrow().recently_regained(node.now()),
@@ -247,16 +258,25 @@
     is_listing: bool,
 ) -> Vec<RelayedRecord> {
     let feed = node.feed(stream);
+    // A node that has listed the stream before knows more than a restored store.
+    let restored =
+        is_listing && page.era != feed.era.get() && feed.freshness.get().read_as_of.is_some();
     if is_listing {
         feed.at.set(Some(page.end));
+        feed.era.set(page.era);
     } else if let Some(at) = feed.at.get() {
         // A page of a peer may have arrived while this node's own read was in flight.
         page.records.retain(|record| record.offset >= at);
         feed.at.set(Some(page.end.max(at)));
     }
     match stream {
-        Stream::Document => apply_documents(node, &page),
-        _ => apply_registrations(node, page, is_listing),
+        Stream::Document => {
+            if is_listing {
+                node.stored_revision.set(Revision::default());
+            }
+            apply_documents(node, &page)
+        }
+        _ => apply_registrations(node, page, is_listing, restored),
     }
 }
 
@@ -275,7 +295,10 @@
     };
     match &record.value {
         Some(value) => match codec.decode_document(value) {
-            Ok(document) => node.apply_document(document, "store"),
+            Ok(document) => {
+                node.stored_revision.set(document.revision);
+                node.apply_document(document, "store");
+            }
             Err(error) => log::error!(
                 "event=document_unreadable offset={} error={error:?}",
                 record.offset
@@ -297,7 +320,12 @@
     .await;
 }
 
-fn apply_registrations(node: &Rc<Node>, page: Page, is_listing: bool) -> Vec<RelayedRecord> {
+fn apply_registrations(
+    node: &Rc<Node>,
+    page: Page,
+    is_listing: bool,
+    restored: bool,
+) -> Vec<RelayedRecord> {
     let now = node.now();
     let codec = &node.platform.codec;
     let mut listed = Vec::new();
@@ -329,7 +357,10 @@
         changes.push(change);
     }
     let mut fleet = node.fleet.borrow_mut();
-    if is_listing {
+    if restored {
+        node.absence.set(None);
+        changes.extend(fleet.apply_restored(listed, now));
+    } else if is_listing {
         changes.extend(fleet.apply_listing(listed, now));
     }
     changes.extend(fleet.remove_expired(now));
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use cumin_entry::era::{Era, StatedEra};
 use cumin_entry::leaving::StatedLeaving;
 use cumin_entry::limits::StatedLimit;
 use cumin_entry::outage::StatedSpan;
@@ -21,6 +22,7 @@
 use tokio::net::UdpSocket;
 
 use crate::crash;
+use crate::era;
 use crate::feed;
 use crate::leaving;
 use crate::limit;
@@ -81,6 +83,7 @@
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
             leaving: node.fleet.borrow().stated_leaving(node.now()),
+            era: era::stated(&node),
         };
         let payload = match message.encode() {
             Ok(payload) => payload,
@@ -110,6 +113,7 @@
     limits: Vec<StatedLimit>,
     reads: Option<StatedSpan>,
     leaving: Vec<StatedLeaving>,
+    era: Option<StatedEra>,
 }
 
 impl Message {
@@ -119,7 +123,8 @@
         let payload = postcard::to_extend(&self.parts, payload)?;
         let payload = postcard::to_extend(&self.limits, payload)?;
         let payload = postcard::to_extend(&self.reads, payload)?;
-        postcard::to_extend(&self.leaving, payload)
+        let payload = postcard::to_extend(&self.leaving, payload)?;
+        postcard::to_extend(&self.era, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -129,7 +134,8 @@
         let (parts, rest) = take_or_default(rest)?;
         let (limits, rest) = take_or_default(rest)?;
         let (reads, rest) = take_or_default(rest)?;
-        let (leaving, _) = take_or_default(rest)?;
+        let (leaving, rest) = take_or_default(rest)?;
+        let (era, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -137,6 +143,7 @@
             limits,
             reads,
             leaving,
+            era,
         })
     }
 }
@@ -286,6 +293,7 @@
         limits,
         reads,
         leaving: stated_leaving,
+        era: stated_era,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -325,6 +333,7 @@
         .merge_peer(&digest.node, digest.incarnation, &digest.taken, now);
     limit::merge_peer(node, digest, limits);
     leaving::merge_peer(node, &digest.node, stated_leaving);
+    era::merge_peer(node, digest, *stated_era);
     let max_memory = node.table().map_or(0, |table| {
         let services = table.document().services.iter();
         let memories = services.filter_map(|spec| Some(spec.engine.as_ref()?.memory_tokens));
@@ -358,25 +367,35 @@
             .append(Stream::Entries, Some(name), value.clone(), None)
             .await;
         feed::count_call(&node, Stream::Entries, "append", &appended);
-        if appended.is_ok() {
-            break;
+        match era::checked(&node, appended) {
+            // A restored store may have lost the record, so it is written again.
+            Ok(appended) => list_others(&node, appended.era).await,
+            Err(_) => tokio::time::sleep(ANNOUNCE_RETRY_PAUSE.duration()).await,
         }
-        tokio::time::sleep(ANNOUNCE_RETRY_PAUSE.duration()).await;
     }
-    loop {
-        let listed = store.newest(Stream::Entries).await;
-        feed::count_call(&node, Stream::Entries, "newest", &listed);
-        let pause = match listed {
+}
+
+/// Lists the other nodes periodically, and returns when the era of the store is another one.
+async fn list_others(node: &Rc<Node>, era: Era) {
+    while node.eras.get().newest() == era {
+        let listed = node.platform.store.newest(Stream::Entries).await;
+        feed::count_call(node, Stream::Entries, "newest", &listed);
+        let pause = match era::checked(node, listed) {
             Ok(page) => {
-                add_contacts(&node, &page);
-                list_interval(&node)
+                add_contacts(node, &page);
+                list_interval(node)
             }
             Err(error) => {
                 log::warn!("event=entries_unlisted error={error}");
                 ANNOUNCE_RETRY_PAUSE
             }
         };
-        tokio::time::sleep(pause.duration()).await;
+        if node.eras.get().newest() == era {
+            tokio::select! {
+                () = tokio::time::sleep(pause.duration()) => {}
+                () = node.era_notify.notified() => {}
+            }
+        }
     }
 }
 
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod crash;
 mod duty;
+mod era;
 mod events;
 mod feed;
 mod gossip;
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -58,6 +58,8 @@
     pub(crate) limited: Gauge,
     pub(crate) waiting: Gauge,
     pub(crate) leaving: Gauge,
+    pub(crate) store_era: Gauge,
+    pub(crate) store_restores: Counter,
     pub(crate) held_bytes: Gauge,
     pub(crate) held_limit: Gauge,
 }
@@ -89,6 +91,8 @@
             limited: Gauge::default(),
             waiting: Gauge::default(),
             leaving: Gauge::default(),
+            store_era: Gauge::default(),
+            store_restores: Counter::default(),
             held_bytes: Gauge::default(),
             held_limit: Gauge::default(),
             registry: Registry::default(),
@@ -110,6 +114,12 @@
             m.attempts.clone(),
         );
         registry.register("store_calls", "Calls to the store", m.store_calls.clone());
+        registry.register("store_era", "Era of the store", m.store_era.clone());
+        registry.register(
+            "store_restores",
+            "New eras of the store that were noticed",
+            m.store_restores.clone(),
+        );
         registry.register(
             "endpoint_connections",
             "Connections opened to endpoints",
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -7,6 +7,7 @@
 
 use actix_http::ServiceConfig;
 use cumin_entry::document::{Document, Table};
+use cumin_entry::era::{Era, Eras, Marks};
 use cumin_entry::fleet::Fleet;
 use cumin_entry::limits::RateLimits;
 use cumin_entry::memory::{MemoryBudget, MemoryOptions};
@@ -19,11 +20,11 @@
 use cumin_entry::selection::{Selector, SelectorOptions};
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_entry::stop::Stop;
-use cumin_entry::suspects::Suspects;
+use cumin_entry::suspects::{Suspect, Suspects};
 use cumin_entry::usage::Usage;
 use cumin_http::connection::Connection;
 use cumin_types::{
-    EndpointName, FencingToken, Incarnation, LogOffset, Millis, Service, WallMillis,
+    EndpointName, FencingToken, Incarnation, LogOffset, Millis, Revision, Service, WallMillis,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -61,6 +62,8 @@
 pub(crate) struct Freshness {
     /// Time at which the copy was last known to be complete.
     pub(crate) as_of: Option<Millis>,
+    /// Time for which a read was last answered, whether or not the answer proved the copy complete.
+    pub(crate) read_as_of: Option<Millis>,
     /// Time since which reads fail.
     pub(crate) lost_since: Option<Millis>,
 }
@@ -70,6 +73,20 @@
     pub(crate) fn age_ms(&self, now: Millis) -> Option<u64> {
         self.as_of.map(|as_of| now.since(as_of))
     }
+
+    /// Returns the time since a read was last answered; `None` before the first one.
+    pub(crate) fn read_age_ms(&self, now: Millis) -> Option<u64> {
+        self.read_as_of.map(|as_of| now.since(as_of))
+    }
+
+    /// Records an answered read, which shows the state of the store at `as_of`.
+    pub(crate) fn answered(&mut self, as_of: Millis, proves: bool) {
+        self.read_as_of = self.read_as_of.max(Some(as_of));
+        if proves {
+            self.as_of = self.as_of.max(Some(as_of));
+        }
+        self.lost_since = None;
+    }
 }
 
 /// Progress in a stream of the store.
@@ -77,6 +94,8 @@
 pub(crate) struct Feed {
     /// Offset to continue reading from; `None` before the first listing.
     pub(crate) at: Cell<Option<LogOffset>>,
+    /// Era of the last listing, to which `at` belongs.
+    pub(crate) era: Cell<Era>,
     pub(crate) freshness: Cell<Freshness>,
     /// Whether a relayed page showed that this node must read by itself.
     pub(crate) wanted: Cell<bool>,
@@ -101,6 +120,15 @@
     pub(crate) table: RefCell<Option<Rc<Table>>>,
     pub(crate) documents: Feed,
     pub(crate) registrations: Feed,
+    pub(crate) eras: Cell<Eras>,
+    /// Notified when a new era of the store is noticed.
+    pub(crate) era_notify: Notify,
+    /// Numbers that must not be used again, as known to this node.
+    pub(crate) marks: Cell<Marks>,
+    /// Revision of the document that the store has shown in the era of the last listing.
+    pub(crate) stored_revision: Cell<Revision>,
+    /// Whether the store was last found to hold an older document than is known.
+    pub(crate) behind: Cell<bool>,
     /// Reads of the registrations, by this node or by the reader of its place.
     pub(crate) reads: Cell<Reads>,
     /// Reads of the registrations by peers.
@@ -119,6 +147,8 @@
     budgets: RefCell<BTreeMap<Service, RetryBudget>>,
     pub(crate) usage: RefCell<Usage>,
     pub(crate) suspects: RefCell<Suspects>,
+    /// Suspects whose records this node has removed from the store, and when.
+    pub(crate) removed: RefCell<Vec<(Suspect, Millis)>>,
     pub(crate) limits: RefCell<RateLimits>,
     /// Bytes that are held for callers.
     pub(crate) memory: RefCell<MemoryBudget>,
@@ -161,6 +191,11 @@
             table: RefCell::new(None),
             documents: Feed::default(),
             registrations: Feed::default(),
+            eras: Cell::default(),
+            era_notify: Notify::new(),
+            marks: Cell::default(),
+            stored_revision: Cell::default(),
+            behind: Cell::default(),
             reads: Cell::default(),
             timeline: RefCell::default(),
             absence: Cell::default(),
@@ -173,6 +208,7 @@
             budgets: RefCell::default(),
             usage: RefCell::default(),
             suspects: RefCell::default(),
+            removed: RefCell::default(),
             limits: RefCell::new(RateLimits::new(settings.node.clone())),
             memory: RefCell::new(MemoryBudget::new(&memory)),
             memory_notify: Notify::new(),
@@ -261,10 +297,10 @@
         absence
     }
 
-    /// Returns the age of the older one of the copies; `None` before both were read.
+    /// Returns the time since both streams were last read; `None` before the first reads.
     pub(crate) fn store_age(&self) -> Option<Millis> {
         let now = self.now();
-        let age = |feed: &Feed| feed.freshness.get().age_ms(now);
+        let age = |feed: &Feed| feed.freshness.get().read_age_ms(now);
         Some(Millis(age(&self.documents)?.max(age(&self.registrations)?)))
     }
 
--- a/crates/cumin-serve/src/relay.rs
+++ b/crates/cumin-serve/src/relay.rs
@@ -5,14 +5,16 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
+use cumin_entry::era::Era;
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::{PageFit, Proof, RelayedPage, RelayedRecord};
 use cumin_entry::settings::Settings;
 use cumin_types::{Millis, WallMillis};
 use tokio::net::UdpSocket;
 
+use crate::era;
 use crate::feed;
-use crate::node::{Freshness, Node, saturating_i64, saturating_u64};
+use crate::node::{Node, saturating_i64, saturating_u64};
 
 /// Offset of the port for pages from the first internal port. Digests use that port, and metrics
 /// the one after it.
@@ -52,6 +54,7 @@
 /// Sends a page to the other nodes of the place, with the proof of its age for each.
 pub(crate) async fn send(node: &Node, page: RelayedPage, as_of: Millis) {
     let now = node.now();
+    let era = page.era;
     let payload = match encode(page) {
         Ok(payload) => payload,
         Err(error) => {
@@ -73,7 +76,9 @@
     };
     let port = node.settings.base_port + PORT_OFFSET;
     for (address, proof) in receivers {
-        let datagram = match postcard::to_extend(&proof, payload.clone()) {
+        let datagram = match postcard::to_extend(&proof, payload.clone())
+            .and_then(|datagram| extend_era(era, datagram))
+        {
             Ok(datagram) => datagram,
             Err(error) => {
                 log::error!("event=page_unwritten error={error}");
@@ -97,9 +102,21 @@
     postcard::to_stdvec(&page)
 }
 
+/// Appends the era after the proof, where older versions do not read it; nothing in era zero.
+fn extend_era(era: Era, datagram: Vec<u8>) -> Result<Vec<u8>, postcard::Error> {
+    if era.is_unknown() {
+        return Ok(datagram);
+    }
+    postcard::to_extend(&era, datagram)
+}
+
 fn decode(datagram: &[u8]) -> Result<(RelayedPage, Proof), postcard::Error> {
-    let (page, rest) = postcard::take_from_bytes(datagram)?;
-    Ok((page, postcard::from_bytes(rest)?))
+    let (mut page, rest): (RelayedPage, _) = postcard::take_from_bytes(datagram)?;
+    let (proof, rest) = postcard::take_from_bytes(rest)?;
+    if !rest.is_empty() {
+        page.era = postcard::from_bytes(rest)?;
+    }
+    Ok((page, proof))
 }
 
 /// Receives pages; does not return.
@@ -128,7 +145,7 @@
     }
     let stream = page.stream();
     let feed = node.feed(stream);
-    let fit = page.fit(feed.at.get());
+    let fit = page.fit_in(feed.era.get(), feed.at.get());
     log::debug!(
         "event=relayed_page stream={stream} fit={fit:?} from={} end={} records={}",
         page.from,
@@ -153,17 +170,12 @@
     if stream == Stream::Endpoints {
         node.registrations_read();
     }
-    let as_of = Some(node.local_time(proof.wall).min(now)).max(state.as_of);
     if let Some(since) = state.lost_since {
         log::info!(
             "event=dependency_regained name=store stream={stream} after_ms={} source=peer",
             now.since(since)
         );
     }
-    feed.freshness.set(Freshness {
-        as_of,
-        lost_since: None,
-    });
     let relayed = Page {
         records: page
             .records
@@ -171,9 +183,13 @@
             .map(RelayedRecord::into_record)
             .collect(),
         end: page.end,
-        ..Page::default()
+        era: page.era,
     };
     feed::apply_page(node, stream, relayed, false);
+    let mut current = feed.freshness.get();
+    let as_of = node.local_time(proof.wall).min(now);
+    current.answered(as_of, era::proves(node, stream));
+    feed.freshness.set(current);
     feed.notify.notify_one();
 }
 
