Test entries over a store that returns with an older copy

The new era had tests of its decisions only. An entry over the in-memory store, which can now return to an older copy in a new era, must go on refusing a removed key, serve valid keys and endpoints that registered after the copy was made, send nothing to an endpoint that left, and write its address again, also after two restores within a second.

The first run showed valid requests refused with 503: the read that brought the newest document again had waited for 1.5 s, so that it proved the copy for the time before the wait only. While the store is behind, reads of the document now wait for 250 ms at most.

--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -28,6 +28,10 @@
 /// bound, at which the others would read by themselves.
 const RELAYED_WAIT: Millis = Millis(500);
 
+/// The same while the store holds an older document than is known. A read that ends with the newest
+/// one proves the copy for the time at which it was sent.
+const BEHIND_WAIT: Millis = Millis(250);
+
 /// Pause after a failed read. It doubles with each further failure, up to `MAX_RETRY_PAUSE`.
 const MIN_RETRY_PAUSE: Millis = Millis(50);
 const MAX_RETRY_PAUSE: Millis = Millis(400);
@@ -92,7 +96,11 @@
         }
         let sent = node.now();
         let from = feed.at.get();
-        let wait = if reader { read_wait(&node) } else { Millis(0) };
+        let wait = if reader {
+            read_wait(&node, stream)
+        } else {
+            Millis(0)
+        };
         let store = &node.platform.store;
         let result = match from {
             None => store.newest(stream).await,
@@ -151,7 +159,10 @@
 
 /// Returns the time that a read waits for a record. A node whose place depends on it reads more
 /// often, because relayed copies are older by a digest's interval.
-fn read_wait(node: &Node) -> Millis {
+fn read_wait(node: &Node, stream: Stream) -> Millis {
+    if stream == Stream::Document && node.behind.get() {
+        return BEHIND_WAIT;
+    }
     let peers = node.peers.borrow();
     let mut live = peers.live(node.now());
     if live.any(|peer| peer.digest.place == node.settings.place) {
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod silent_store;
 mod sink;
 mod split_input;
+mod store_era;
 mod streams;
 mod support;
 mod unframed;
--- /dev/null
+++ b/crates/cumin-serve/tests/all/store_era.rs
@@ -0,0 +1,140 @@
+//! A store that returns with an older copy of its records, in a new era.
+
+use std::time::Duration;
+
+use cumin_entry::platform::Stream;
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+
+use crate::support::{Endpoint, Entry, MemoryStore, answer, body, eventually, request, run, send};
+
+/// Sends a request with a key and returns the status.
+async fn status(entry: &Entry, key: &str) -> String {
+    let text = request("GET", "/safe/x", "", "").replace("Bearer key", &format!("Bearer {key}"));
+    let got = send(entry.callers, &text).await;
+    got.get(9..12).unwrap_or_default().to_owned()
+}
+
+/// Starts an entry whose store states an era.
+async fn start_stated(endpoint: &Endpoint) -> Entry {
+    let store = MemoryStore::default();
+    store.set_era(1);
+    let entry = Entry::start_on(store);
+    entry.register("plain-0", "plain", endpoint.address);
+    entry.publish(&["key"]);
+    entry.wait_ready().await;
+    entry
+}
+
+/// The copy holds an older document, in which a key that was removed since is valid. The key must
+/// stay refused, and the valid key must be served, until the operator has written the document
+/// again.
+#[test]
+fn removed_key() {
+    run(async {
+        let endpoint = Endpoint::start(vec![vec![answer(200, "ok")]]).await;
+        let entry = start_stated(&endpoint).await;
+        entry.publish(&["key", "removed"]);
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(status(&entry, "removed").await, "200");
+        let copy = entry.store.copy();
+        entry.publish(&["key"]);
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(status(&entry, "removed").await, "401");
+        let newest = entry.store.copy();
+        entry.store.restore(copy);
+        let restored = Instant::now();
+        while restored.elapsed() < Duration::from_millis(1500) {
+            assert_eq!(status(&entry, "removed").await, "401");
+            assert_eq!(status(&entry, "key").await, "200");
+            sleep(Duration::from_millis(50)).await;
+        }
+        let document = newest.iter().rev().find(|(s, _)| *s == Stream::Document);
+        let value = document.unwrap().1.value.clone().unwrap();
+        let value: serde_json::Value = serde_json::from_slice(&value).unwrap();
+        entry.store.put(Stream::Document, "config", &value);
+        let written = Instant::now();
+        while written.elapsed() < Duration::from_millis(3000) {
+            // With a copy that is older than 2 s, a key that is not known is refused with 503.
+            assert_ne!(status(&entry, "removed").await, "200");
+            assert_eq!(status(&entry, "key").await, "200");
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+}
+
+/// If nobody writes the newest document again, the older copy must not pass for a proof that keys
+/// are valid.
+#[test]
+fn no_proof() {
+    run(async {
+        let endpoint = Endpoint::start(vec![vec![answer(200, "ok")]]).await;
+        let entry = start_stated(&endpoint).await;
+        let copy = entry.store.copy();
+        entry.publish(&["key", "another"]);
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(status(&entry, "another").await, "200");
+        entry.store.restore(copy);
+        // `Bounds::revoke_limit` is 2.5 s in these tests, and a read may still be in progress.
+        sleep(Duration::from_millis(4500)).await;
+        assert_eq!(status(&entry, "another").await, "503");
+    });
+}
+
+/// An endpoint that registered after the copy was made gets requests all the time, and so does one
+/// whose records got other offsets; one that left stays out although the copy shows it.
+#[test]
+fn endpoints_kept() {
+    run(async {
+        let endpoint = Endpoint::start(vec![vec![answer(200, "ok")]]).await;
+        let left = Endpoint::start(vec![vec![answer(200, "left")]]).await;
+        let entry = start_stated(&endpoint).await;
+        let store = &entry.store;
+        entry.remove("plain-0");
+        entry.register("plain-1", "plain", left.address);
+        sleep(Duration::from_millis(300)).await;
+        let copy = store.copy();
+        let draining = json!({
+            "service": "plain", "address": left.address, "zone": "a", "version": "v1", "slots": 6,
+            "state": "draining", "cold_remaining_ms": 0, "sequence": 2, "born": 1,
+        });
+        store.put(Stream::Endpoints, "plain-1", &draining);
+        entry.register("plain-2", "plain", endpoint.address);
+        sleep(Duration::from_millis(500)).await;
+        let sent = left.count();
+        assert_eq!(body(&entry.call("GET", "/safe/x", "", "").await), "ok");
+        store.restore(copy);
+        // Other records take the offsets that the entry has read.
+        for _ in 0..5 {
+            entry.register("engine-9", "engine", endpoint.address);
+        }
+        let restored = Instant::now();
+        while restored.elapsed() < Duration::from_millis(4000) {
+            let got = entry.call("GET", "/safe/x", "", "").await;
+            assert_eq!(body(&got), "ok", "after {:?}", restored.elapsed());
+            sleep(Duration::from_millis(50)).await;
+            if restored.elapsed() > Duration::from_millis(1200) {
+                entry.register("plain-2", "plain", endpoint.address);
+            }
+        }
+        assert_eq!(left.count(), sent, "requests to an endpoint that left");
+    });
+}
+
+/// Each entry writes its address again, or entries that start later would not find it.
+#[test]
+fn announced_again() {
+    run(async {
+        let store = MemoryStore::default();
+        store.set_era(1);
+        let _entries = Entry::start_group(&store, 2);
+        let announced = || store.values(Stream::Entries).len() == 2;
+        eventually("both entries are announced", announced).await;
+        for _ in 0..2 {
+            store.restore(Vec::new());
+            // Twice within a second.
+            sleep(Duration::from_millis(300)).await;
+        }
+        eventually("both entries are announced again", announced).await;
+    });
+}
