Leave out endpoints of an older copy whose registrations had ended

A restored store lists endpoints that had left before. Taken for new ones, they got requests for the grace after a new era, long after the bound on leaving. The end of a registration is now remembered for 60 s, and such an endpoint is left out until it registers again.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -16,6 +16,10 @@
 /// seconds.
 pub const LAPSE_GRACE: Millis = Millis(2200);
 
+/// Time for which the end of a registration is remembered. The copies from which a store is restored
+/// are some seconds old.
+const GONE_TIME: Millis = Millis(60_000);
+
 /// Pause between two reads of registrations, multiplied by the number of nodes that read, so that
 /// the rate of calls does not depend on that number: all nodes together make 12 calls a second, of
 /// the 2,000 that the users' smallest store allows.
@@ -98,6 +102,8 @@
     registrations: BTreeMap<EndpointName, Registration>,
     /// Endpoints that have stated that they leave, also while they are not registered.
     leaving: Leaving,
+    /// Starts of endpoints whose registrations have ended, and when.
+    gone: BTreeMap<EndpointName, (u64, Millis)>,
     /// Time at which the store was last reached again after an outage.
     store_regained: Option<Millis>,
     /// Increases with each change of an endpoint or of the set.
@@ -158,6 +164,7 @@
         if old != Some(&endpoint) {
             self.version += 1;
         }
+        self.gone.remove(&name);
         self.registrations.insert(
             name,
             Registration {
@@ -181,11 +188,18 @@
             known.expires = Some(expires);
             return Change::Lapsed(name.clone());
         }
-        self.registrations.remove(name);
-        self.version += 1;
+        self.remove(name, now);
         Change::Gone(name.clone())
     }
 
+    fn remove(&mut self, name: &EndpointName, now: Millis) {
+        if let Some(known) = self.registrations.remove(name) {
+            let gone = (known.endpoint.started_ms, now);
+            self.gone.insert(name.clone(), gone);
+        }
+        self.version += 1;
+    }
+
     /// Applies a full listing; endpoints that it lacks are unregistered.
     pub fn apply_listing(&mut self, listed: Vec<Endpoint>, now: Millis) -> Vec<Change> {
         let missing: Vec<EndpointName> = self
@@ -203,12 +217,15 @@
     /// Applies a full listing of a store that was restored from an older copy.
     ///
     /// Endpoints that it lacks, or lists with an earlier start than is known, are kept for
-    /// [`LAPSE_GRACE`], within which live endpoints register again.
+    /// [`LAPSE_GRACE`], within which live endpoints register again. Endpoints that it lists although
+    /// their registrations had ended are left out until they register again.
     pub fn apply_restored(&mut self, mut listed: Vec<Endpoint>, now: Millis) -> Vec<Change> {
         self.store_regained(now);
         listed.retain(|endpoint| {
             let known = self.get(&endpoint.name);
+            let gone = self.gone.get(&endpoint.name);
             known.is_none_or(|known| known.started_ms <= endpoint.started_ms)
+                && gone.is_none_or(|(started_ms, _)| *started_ms < endpoint.started_ms)
         });
         self.apply_listing(listed, now)
     }
@@ -222,9 +239,9 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in &gone {
-            self.registrations.remove(name);
-            self.version += 1;
+            self.remove(name, now);
         }
+        self.gone.retain(|_, (_, at)| now.since(*at) < GONE_TIME.0);
         let registrations = &self.registrations;
         self.leaving
             .trim(|name| registrations.contains_key(name), now);
--- a/crates/cumin-entry/tests/all/era.rs
+++ b/crates/cumin-entry/tests/all/era.rs
@@ -330,6 +330,21 @@
     assert_eq!(fleet.usable(&crate::engines(), now).count(), 0);
 }
 
+/// The copy shows an endpoint whose registration had ended. It got requests again for the grace of
+/// 2.2 s, long after the bound on its leaving.
+#[test]
+fn ended_registration() {
+    let mut fleet = Fleet::default();
+    fleet.register(endpoint("left"));
+    fleet.unregister(&"left".into(), Millis(1000));
+    let now = Millis(9000);
+    fleet.apply_restored(vec![endpoint("left")], now);
+    assert_eq!(fleet.usable(&crate::engines(), now).count(), 0);
+    // It lives after all, and registers again.
+    fleet.register(endpoint("left"));
+    assert_eq!(fleet.usable(&crate::engines(), now).count(), 1);
+}
+
 /// The copy shows an earlier start of an endpoint: taking it for a restart would suspect requests
 /// of a crash and send requests to a process that has ended.
 #[test]
--- a/crates/cumin-serve/tests/all/store_era.rs
+++ b/crates/cumin-serve/tests/all/store_era.rs
@@ -1,12 +1,14 @@
 //! A store that returns with an older copy of its records, in a new era.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cumin_entry::platform::Stream;
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::support::{Endpoint, Entry, MemoryStore, answer, body, eventually, request, run, send};
+use crate::support::{
+    Endpoint, Entry, LIMIT, MemoryStore, answer, body, eventually, get, request, run, send,
+};
 
 /// Sends a request with a key and returns the status.
 async fn status(entry: &Entry, key: &str) -> String {
@@ -121,6 +123,43 @@
     });
 }
 
+/// A quarantined suspect that only live entries remember must be in the store again, or it would
+/// crash three more endpoints after a restart of all entries.
+#[test]
+fn quarantined_again() {
+    run(async {
+        let store = MemoryStore::default();
+        store.set_era(1);
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let crashes = [1, 2, 3].map(|crash| json!([crash, []]));
+        let part = json!({"part": 171, "crashes": crashes, "cleared": [], "age": 0});
+        let value = json!({
+            "suspect": {"requests": [], "parts": [part]},
+            "written": u64::try_from(wall.as_millis()).unwrap(),
+        });
+        store.put(Stream::Quarantine, "part:ab", &value);
+        let entries = Entry::start_group(&store, 2);
+        entries[0].publish(&["key"]);
+        for entry in &entries {
+            entry.wait_ready().await;
+            let metrics = || get(entry.metrics, "/metrics");
+            let known = async {
+                while !metrics().await.contains("cumin_quarantined 1") {
+                    sleep(Duration::from_millis(20)).await;
+                }
+            };
+            timeout(LIMIT, known).await.expect("the suspect is known");
+        }
+        store.restore(Vec::new());
+        let stored = || store.values(Stream::Quarantine).contains_key("part:ab");
+        eventually("the suspect is in the store again", stored).await;
+        sleep(Duration::from_millis(1500)).await;
+        let records = store.copy();
+        let written = records.iter().filter(|(s, _)| *s == Stream::Quarantine);
+        assert_eq!(written.count(), 1, "one entry writes it");
+    });
+}
+
 /// Each entry writes its address again, or entries that start later would not find it.
 #[test]
 fn announced_again() {
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -607,7 +607,7 @@
     timeout(LIMIT, exchange).await.expect("the connection ends")
 }
 
-async fn get(address: SocketAddr, path: &str) -> String {
+pub async fn get(address: SocketAddr, path: &str) -> String {
     let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     send(address, &text).await
 }
