--- a/crates/cumin-entry/tests/all/era.rs
+++ b/crates/cumin-entry/tests/all/era.rs
@@ -486,6 +486,33 @@
     assert_eq!(Era::of_token(token), Era(2));
 }
 
+/// Another node has claimed in the new era: the holder of the old one must not claim over it.
+#[test]
+fn claimed_by_other() {
+    let mut log = Log {
+        era: Era(1),
+        ..Log::default()
+    };
+    let mut node = Node::new("a", 1);
+    node.drive(&mut log, false, Millis(0));
+    node.drive(&mut log, false, Millis(0));
+    node.acquire(&mut log, Millis(3000));
+    log.restore(0);
+    let other = Node::new("b", 2);
+    let claim = StoredRecord {
+        era: log.era,
+        ..other.claim().into()
+    };
+    log.append(&claim, log.end()).unwrap();
+    let now = Millis(3100);
+    node.notice(log.era, now);
+    for _ in 0..4 {
+        node.drive(&mut log, false, now);
+    }
+    assert_eq!(node.lease.held(now), None);
+    assert_eq!(log.records.last(), Some(&claim));
+}
+
 /// The store goes back twice within a second: the holder must go on, with tokens that rise.
 #[test]
 fn twice() {
