Apply the newest document of a page, wherever it stands

In a known era all documents of a page are now decoded, and the highest revision counts.

A test over three entries and five restores by 0 to 5 s checks that windows have one count, tokens rise and reports go on.

--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -297,27 +297,37 @@
 }
 
 fn apply_documents(node: &Node, page: &Page) -> Vec<RelayedRecord> {
-    let codec = &node.platform.codec;
-    let key = codec.document_key();
-    let is_document = |record: &&Record| record.key.as_deref() == Some(key);
-    // Only the newest document matters, and decoding one takes a while.
-    let Some(record) = page.records.iter().rev().find(is_document) else {
-        return Vec::new();
+    let key = node.platform.codec.document_key();
+    let documents = page.records.iter().rev();
+    let documents = documents.filter(|record| record.key.as_deref() == Some(key));
+    // Only the newest document matters, and decoding one takes a while. After a loss of the store,
+    // older ones may be written again behind it.
+    let count = if page.era.is_unknown() { 1 } else { usize::MAX };
+    let mut relayed = Vec::new();
+    for record in documents.take(count) {
+        apply_document(node, record);
+        relayed.extend(RelayedRecord::from_record(record));
+    }
+    relayed.reverse();
+    relayed
+}
+
+fn apply_document(node: &Node, record: &Record) {
+    let Some(value) = &record.value else {
+        log::error!("event=document_removed offset={}", record.offset);
+        return;
     };
-    match &record.value {
-        Some(value) => match codec.decode_document(value) {
-            Ok(document) => {
-                node.stored_revision.set(document.revision);
-                node.apply_document(document, "store");
-            }
-            Err(error) => log::error!(
-                "event=document_unreadable offset={} error={error:?}",
-                record.offset
-            ),
-        },
-        None => log::error!("event=document_removed offset={}", record.offset),
+    match node.platform.codec.decode_document(value) {
+        Ok(document) => {
+            let stored = node.stored_revision.get().max(document.revision);
+            node.stored_revision.set(stored);
+            node.apply_document(document, "store");
+        }
+        Err(error) => log::error!(
+            "event=document_unreadable offset={} error={error:?}",
+            record.offset
+        ),
     }
-    RelayedRecord::from_record(record).into_iter().collect()
 }
 
 /// Follows the registrations of endpoints; does not return.
--- a/crates/cumin-serve/tests/all/store_era.rs
+++ b/crates/cumin-serve/tests/all/store_era.rs
@@ -1,5 +1,6 @@
 //! A store that returns with an older copy of its records, in a new era.
 
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cumin_entry::platform::Stream;
@@ -7,7 +8,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::support::{
-    Endpoint, Entry, LIMIT, MemoryStore, answer, body, eventually, get, request, run, send,
+    Endpoint, Entry, LIMIT, MemoryCloud, MemoryStore, answer, body, eventually, get, request, run,
+    send,
 };
 
 /// Sends a request with a key and returns the status.
@@ -65,6 +67,28 @@
     });
 }
 
+/// After a loss, an older document may be written again behind a newer one: the newer one must come
+/// into force although it is not the last of its page (soak seed 102).
+#[test]
+fn older_written_last() {
+    run(async {
+        let endpoint = Endpoint::start(vec![vec![answer(200, "ok")]]).await;
+        let entry = start_stated(&endpoint).await;
+        let copy = entry.store.copy();
+        entry.publish(&["key", "removed"]);
+        sleep(Duration::from_millis(200)).await;
+        let older = entry.store.values(Stream::Document)["config"].clone();
+        let older = serde_json::from_slice(&older).unwrap();
+        entry.store.restore(copy);
+        sleep(Duration::from_millis(200)).await;
+        entry.publish(&["key"]);
+        entry.store.put(Stream::Document, "config", &older);
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(status(&entry, "removed").await, "401");
+        assert_eq!(status(&entry, "key").await, "200");
+    });
+}
+
 /// If nobody writes the newest document again, the older copy must not pass for a proof that keys
 /// are valid.
 #[test]
@@ -160,6 +184,74 @@
     });
 }
 
+/// Whatever the store has lost, a window is reported with one count, a token is used by one entry,
+/// tokens rise, and reports go on within the users' time.
+#[test]
+fn reports_go_on() {
+    run(async {
+        let endpoint = Endpoint::start(vec![vec![answer(200, "ok")]]).await;
+        let (store, cloud) = (MemoryStore::default(), MemoryCloud::default());
+        store.set_era(1);
+        let entries = Entry::start_reporting(&store, 3, Some(&cloud));
+        entries[0].register("plain-0", "plain", endpoint.address);
+        entries[0].publish(&["key"]);
+        for entry in &entries {
+            entry.wait_ready().await;
+        }
+        let started = Instant::now();
+        let mut copies = VecDeque::new();
+        let mut restores = [5000, 7000, 7300, 9000, 11_000].into_iter().peekable();
+        let ages = [0, 1000, 1000, 5000, 2000].into_iter();
+        let mut ages = ages.map(Duration::from_millis);
+        while started.elapsed() < Duration::from_secs(17) {
+            let now = started.elapsed();
+            copies.push_back((now, store.copy()));
+            if restores.peek().is_some_and(|at| now.as_millis() >= *at) {
+                restores.next();
+                let oldest = now.saturating_sub(ages.next().unwrap());
+                copies.retain(|(at, _)| *at <= oldest);
+                let (_, copy) = copies.pop_back().unwrap();
+                store.restore(copy);
+            }
+            for entry in &entries {
+                assert_eq!(body(&entry.call("GET", "/safe/x", "", "").await), "ok");
+            }
+            if now.as_millis().is_multiple_of(4) {
+                entries[0].register("plain-0", "plain", endpoint.address);
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        let reports = cloud.reports.borrow();
+        let (mut counts, mut authors) = (BTreeMap::new(), BTreeMap::new());
+        let mut newest = reports[0].0;
+        for (token, author, window, sent) in reports.iter() {
+            assert_eq!(
+                counts.entry(*window).or_insert(sent),
+                &sent,
+                "window {window}"
+            );
+            assert_eq!(
+                authors.entry(*token).or_insert(author),
+                &author,
+                "token {token}"
+            );
+            assert!(*token >= newest, "{token} after {newest}");
+            newest = *token;
+        }
+        let windows: Vec<u64> = counts.keys().copied().collect();
+        let last = windows.last().unwrap();
+        let reported = windows.iter().filter(|window| *window + 10 > *last);
+        assert_eq!(reported.count(), 10, "{windows:?}");
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        assert!(
+            wall.as_secs() - last < 6,
+            "the last report is of window {last}"
+        );
+        // Between two restores that are 300 ms apart no report need be made.
+        assert!(authors.len() >= 5, "a token for each era: {authors:?}");
+    });
+}
+
 /// Each entry writes its address again, or entries that start later would not find it.
 #[test]
 fn announced_again() {
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -5,17 +5,21 @@
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cumin_entry::era::Era;
-use cumin_entry::platform::{Appended, LocalFuture, Page, Record, Store, StoreError, Stream};
+use cumin_entry::platform::{
+    Appended, Cloud, CloudError, LeaseHolder, LocalFuture, Order, Page, Record, Store, StoreError,
+    Stream,
+};
 use cumin_entry::quota::Tolerance;
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_platform::{HttpDialect, JsonCodec};
 use cumin_serve::{BootClock, Platform};
-use cumin_types::{LogOffset, Millis, NodeName, Place, Region};
+use cumin_types::{FencingToken, LogOffset, Millis, NodeName, Organisation, Place, Region};
 use futures_util::FutureExt as _;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -173,6 +177,32 @@
     }
 }
 
+/// Reports of usage that entries made: token, author, window and counts.
+type Reports = Vec<(FencingToken, Arc<str>, u64, BTreeMap<Organisation, u64>)>;
+
+/// Cloud that records the reports of usage.
+#[derive(Clone, Default)]
+pub struct MemoryCloud {
+    pub reports: Rc<RefCell<Reports>>,
+}
+
+impl Cloud for MemoryCloud {
+    fn report_usage(
+        &self,
+        holder: &LeaseHolder,
+        window: u64,
+        counts: &BTreeMap<Organisation, u64>,
+    ) -> LocalFuture<'_, Result<(), CloudError>> {
+        let report = (holder.token, holder.node.clone(), window, counts.clone());
+        self.reports.borrow_mut().push(report);
+        async move { Ok(()) }.boxed_local()
+    }
+
+    fn order(&self, _: &LeaseHolder, _: &Order) -> LocalFuture<'_, Result<(), CloudError>> {
+        async move { Ok(()) }.boxed_local()
+    }
+}
+
 /// A request as received by an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedRequest {
@@ -436,17 +466,34 @@
     /// Starts an entry that uses a store of other entries. It does not hear them.
     pub fn start_on(store: MemoryStore) -> Self {
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        Self::start_at(store, "n1", local, free_ports(), Vec::new())
+        Self::start_at(store, "n1", local, free_ports(), Vec::new(), None)
     }
 
     /// Starts entries that use one store and hear each other.
     pub fn start_group(store: &MemoryStore, count: u8) -> Vec<Self> {
+        Self::start_reporting(store, count, None)
+    }
+
+    /// Starts entries that report usage to a cloud, for windows of a second.
+    pub fn start_reporting(
+        store: &MemoryStore,
+        count: u8,
+        cloud: Option<&MemoryCloud>,
+    ) -> Vec<Self> {
         let port = free_ports();
         let address = |number| IpAddr::V4(Ipv4Addr::new(127, 0, 1, number));
         let seeds: Vec<IpAddr> = (1..=count).map(address).collect();
         let start = |number| {
             let name = format!("n{number}");
-            Self::start_at(store.clone(), &name, address(number), port, seeds.clone())
+            let seeds = seeds.clone();
+            Self::start_at(
+                store.clone(),
+                &name,
+                address(number),
+                port,
+                seeds,
+                cloud.cloned(),
+            )
         };
         (1..=count).map(start).collect()
     }
@@ -457,6 +504,7 @@
         local: IpAddr,
         port: u16,
         seeds: Vec<IpAddr>,
+        cloud: Option<MemoryCloud>,
     ) -> Self {
         let address = || SocketAddr::new(local, free_port());
         let settings = Settings {
@@ -474,7 +522,12 @@
             record_bytes: 1 << 18,
             max_descriptors: 4000,
             memory_mb: 300,
-            bounds: bounds(),
+            bounds: Bounds {
+                usage_window: cloud
+                    .as_ref()
+                    .map_or(bounds().usage_window, |_| Millis(1000)),
+                ..bounds()
+            },
         };
         let entry = Self {
             store: store.clone(),
@@ -485,7 +538,7 @@
         };
         let platform = Platform {
             store: Box::new(store),
-            cloud: None,
+            cloud: cloud.map(|cloud| Box::new(cloud) as Box<dyn Cloud>),
             codec: Box::new(JsonCodec),
             dialect: Box::new(HttpDialect),
             clock: Box::new(BootClock),
