--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -10,11 +10,12 @@
 use cumin_entry::outage::{Absence, StatedSpan};
 use cumin_entry::platform::{Page, Record, StoreError, Stream};
 use cumin_entry::relay::{RelayedPage, RelayedRecord, self_read_age};
-use cumin_types::{LogOffset, Millis, NodeName};
+use cumin_types::{LogOffset, Millis, NodeName, Revision};
 
+use crate::era;
 use crate::leaving;
 use crate::metrics::StoreCallLabels;
-use crate::node::{Freshness, Node};
+use crate::node::Node;
 use crate::relay;
 
 /// Time that a read waits for a record. It is below the bound within which a document must be in
@@ -27,6 +28,10 @@
 /// bound, at which the others would read by themselves.
 const RELAYED_WAIT: Millis = Millis(500);
 
+/// The same while the store holds an older document than is known. A read that ends with the newest
+/// one proves the copy for the time at which it was sent.
+const BEHIND_WAIT: Millis = Millis(250);
+
 /// Pause after a failed read. It doubles with each further failure, up to `MAX_RETRY_PAUSE`.
 const MIN_RETRY_PAUSE: Millis = Millis(50);
 const MAX_RETRY_PAUSE: Millis = Millis(400);
@@ -43,6 +48,7 @@
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::Conflict { .. }) => "conflict",
         Err(StoreError::Trimmed { .. }) => "trimmed",
+        Err(StoreError::Beyond) => "beyond",
         Err(StoreError::Lost(_)) => "lost",
         Err(StoreError::Garbled(_)) => "garbled",
     };
@@ -73,7 +79,7 @@
                 _ => bounds.drain,
             };
             let limit = self_read_age(&node.settings.node, bound);
-            let age = feed.freshness.get().age_ms(node.now());
+            let age = feed.freshness.get().read_age_ms(node.now());
             let left = age.map_or(0, |age| limit.0.saturating_sub(age));
             if left > 0 {
                 let time = Millis(left.min(CHECK_INTERVAL.0)).duration();
@@ -84,9 +90,17 @@
                 continue;
             }
         }
+        if feed.era.get() != node.eras.get().newest() {
+            // The offset belongs to an older era.
+            feed.at.set(None);
+        }
         let sent = node.now();
         let from = feed.at.get();
-        let wait = if reader { read_wait(&node) } else { Millis(0) };
+        let wait = if reader {
+            read_wait(&node, stream)
+        } else {
+            Millis(0)
+        };
         let store = &node.platform.store;
         let result = match from {
             None => store.newest(stream).await,
@@ -94,7 +108,9 @@
         };
         let call = if from.is_none() { "newest" } else { "read" };
         count_call(&node, stream, call, &result);
-        match result {
+        match era::checked(&node, result) {
+            // The records at this offset are other ones than in the era in which it was read.
+            Ok(page) if from.is_some() && page.era != feed.era.get() => feed.at.set(None),
             Ok(page) => {
                 retry = MIN_RETRY_PAUSE;
                 log::debug!(
@@ -119,6 +135,10 @@
                 log::info!("event=records_gone stream={stream} first={first}");
                 feed.at.set(None);
             }
+            Err(StoreError::Beyond) => {
+                log::info!("event=records_lost stream={stream}");
+                feed.at.set(None);
+            }
             Err(error) => {
                 let mut current = feed.freshness.get();
                 if current.lost_since.is_none() {
@@ -139,7 +159,10 @@
 
 /// Returns the time that a read waits for a record. A node whose place depends on it reads more
 /// often, because relayed copies are older by a digest's interval.
-fn read_wait(node: &Node) -> Millis {
+fn read_wait(node: &Node, stream: Stream) -> Millis {
+    if stream == Stream::Document && node.behind.get() {
+        return BEHIND_WAIT;
+    }
     let peers = node.peers.borrow();
     let mut live = peers.live(node.now());
     if live.any(|peer| peer.digest.place == node.settings.place) {
@@ -213,15 +236,14 @@
             node.now().since(since)
         );
     }
-    feed.freshness.set(Freshness {
-        as_of: state.as_of.max(Some(as_of)),
-        lost_since: None,
-    });
-    let end = page.end;
+    let (end, era) = (page.end, page.era);
     // Records before the current offset came from another reader meanwhile. They are not in what
     // is applied now, so the relayed page must not claim to cover them.
     let from = from.max(from.and(feed.at.get()));
     let records = apply_page(node, stream, page, from.is_none());
+    let mut current = feed.freshness.get();
+    current.answered(as_of, era::proves(node, stream));
+    feed.freshness.set(current);
     if let Some(from) = from
         && node.reader.get()
     {
@@ -229,6 +251,7 @@
             documents: stream == Stream::Document,
             from,
             end,
+            era,
             records,
             partial: false,
             regained: node.fleet.borrow().recently_regained(node.now()),
@@ -246,16 +269,25 @@
     is_listing: bool,
 ) -> Vec<RelayedRecord> {
     let feed = node.feed(stream);
+    // A node that has listed the stream before knows more than a restored store.
+    let restored =
+        is_listing && page.era != feed.era.get() && feed.freshness.get().read_as_of.is_some();
     if is_listing {
         feed.at.set(Some(page.end));
+        feed.era.set(page.era);
     } else if let Some(at) = feed.at.get() {
         // A page of a peer may have arrived while this node's own read was in flight.
         page.records.retain(|record| record.offset >= at);
         feed.at.set(Some(page.end.max(at)));
     }
     match stream {
-        Stream::Document => apply_documents(node, &page),
-        _ => apply_registrations(node, page, is_listing),
+        Stream::Document => {
+            if is_listing {
+                node.stored_revision.set(Revision::default());
+            }
+            apply_documents(node, &page)
+        }
+        _ => apply_registrations(node, page, is_listing, restored),
     }
 }
 
@@ -265,24 +297,37 @@
 }
 
 fn apply_documents(node: &Node, page: &Page) -> Vec<RelayedRecord> {
-    let codec = &node.platform.codec;
-    let key = codec.document_key();
-    let is_document = |record: &&Record| record.key.as_deref() == Some(key);
-    // Only the newest document matters, and decoding one takes a while.
-    let Some(record) = page.records.iter().rev().find(is_document) else {
-        return Vec::new();
+    let key = node.platform.codec.document_key();
+    let documents = page.records.iter().rev();
+    let documents = documents.filter(|record| record.key.as_deref() == Some(key));
+    // Only the newest document matters, and decoding one takes a while. After a loss of the store,
+    // older ones may be written again behind it.
+    let count = if page.era.is_unknown() { 1 } else { usize::MAX };
+    let mut relayed = Vec::new();
+    for record in documents.take(count) {
+        apply_document(node, record);
+        relayed.extend(RelayedRecord::from_record(record));
+    }
+    relayed.reverse();
+    relayed
+}
+
+fn apply_document(node: &Node, record: &Record) {
+    let Some(value) = &record.value else {
+        log::error!("event=document_removed offset={}", record.offset);
+        return;
     };
-    match &record.value {
-        Some(value) => match codec.decode_document(value) {
-            Ok(document) => node.apply_document(document, "store"),
-            Err(error) => log::error!(
-                "event=document_unreadable offset={} error={error:?}",
-                record.offset
-            ),
-        },
-        None => log::error!("event=document_removed offset={}", record.offset),
+    match node.platform.codec.decode_document(value) {
+        Ok(document) => {
+            let stored = node.stored_revision.get().max(document.revision);
+            node.stored_revision.set(stored);
+            node.apply_document(document, "store");
+        }
+        Err(error) => log::error!(
+            "event=document_unreadable offset={} error={error:?}",
+            record.offset
+        ),
     }
-    RelayedRecord::from_record(record).into_iter().collect()
 }
 
 /// Follows the registrations of endpoints; does not return.
@@ -296,7 +341,12 @@
     .await;
 }
 
-fn apply_registrations(node: &Rc<Node>, page: Page, is_listing: bool) -> Vec<RelayedRecord> {
+fn apply_registrations(
+    node: &Rc<Node>,
+    page: Page,
+    is_listing: bool,
+    restored: bool,
+) -> Vec<RelayedRecord> {
     let now = node.now();
     let codec = &node.platform.codec;
     let mut listed = Vec::new();
@@ -328,7 +378,10 @@
         changes.push(change);
     }
     let mut fleet = node.fleet.borrow_mut();
-    if is_listing {
+    if restored {
+        node.absence.set(None);
+        changes.extend(fleet.apply_restored(listed, now));
+    } else if is_listing {
         changes.extend(fleet.apply_listing(listed, now));
     }
     changes.extend(fleet.remove_expired(now));
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -1,19 +1,25 @@
 //! In-memory store, scripted endpoints, and an entry that uses them.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use cumin_entry::platform::{LocalFuture, Page, Record, Store, StoreError, Stream};
+use cumin_entry::era::Era;
+use cumin_entry::platform::{
+    Appended, Cloud, CloudError, LeaseHolder, LocalFuture, Order, Page, Record, Store, StoreError,
+    Stream,
+};
 use cumin_entry::quota::Tolerance;
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_platform::{HttpDialect, JsonCodec};
 use cumin_serve::{BootClock, Platform};
-use cumin_types::{LogOffset, Millis, NodeName, Place, Region};
+use cumin_types::{FencingToken, LogOffset, Millis, NodeName, Organisation, Place, Region};
 use futures_util::FutureExt as _;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -30,6 +36,7 @@
 #[derive(Clone, Default)]
 pub struct MemoryStore {
     records: Rc<RefCell<Vec<(Stream, Record)>>>,
+    era: Rc<Cell<Era>>,
     pub down: Rc<Cell<bool>>,
     /// Whether the connection for registrations is silent: the read in progress, or else the next
     /// one, is lost, and the one after it uses a new connection.
@@ -56,6 +63,40 @@
         offset
     }
 
+    /// Returns a copy of all records, for [`restore`](Self::restore).
+    pub fn copy(&self) -> Vec<(Stream, Record)> {
+        self.records.borrow().clone()
+    }
+
+    /// Replaces all records by an older copy, which begins an era.
+    pub fn restore(&self, copy: Vec<(Stream, Record)>) {
+        *self.records.borrow_mut() = copy;
+        self.set_era(self.era.get().0 + 1);
+    }
+
+    /// Sets the era that answers state from now on.
+    pub fn set_era(&self, era: u64) {
+        self.era.set(Era(era));
+    }
+
+    /// Returns the newest value of each key of a stream that was not removed.
+    pub fn values(&self, stream: Stream) -> BTreeMap<String, Bytes> {
+        let mut values = BTreeMap::new();
+        for record in self.page(stream, LogOffset(0)).records {
+            let key = record.key.unwrap_or_default();
+            match record.value.filter(|value| !value.is_empty()) {
+                Some(value) => values.insert(key, value),
+                None => values.remove(&key),
+            };
+        }
+        values
+    }
+
+    fn end(&self, stream: Stream) -> LogOffset {
+        let records = self.records.borrow();
+        LogOffset(records.iter().filter(|(s, _)| *s == stream).count() as u64)
+    }
+
     fn page(&self, stream: Stream, from: LogOffset) -> Page {
         let records = self.records.borrow();
         let all = records.iter().filter(|(s, _)| *s == stream);
@@ -64,7 +105,11 @@
             .filter(|record| record.offset >= from)
             .collect();
         let end = LogOffset(from.0 + records.len() as u64);
-        Page { records, end }
+        Page {
+            records,
+            end,
+            era: self.era.get(),
+        }
     }
 }
 
@@ -87,6 +132,9 @@
                 if self.down.get() {
                     return Err(StoreError::Refused("down".into()));
                 }
+                if from > self.end(stream) {
+                    return Err(StoreError::Beyond);
+                }
                 let page = self.page(stream, from);
                 if !page.records.is_empty() || Instant::now() >= until {
                     return Ok(page);
@@ -114,10 +162,44 @@
         stream: Stream,
         key: Option<&str>,
         value: Bytes,
-        _at: Option<LogOffset>,
-    ) -> LocalFuture<'_, Result<LogOffset, StoreError>> {
-        let offset = self.push(stream, key, Some(value));
-        async move { Ok(offset) }.boxed_local()
+        at: Option<LogOffset>,
+    ) -> LocalFuture<'_, Result<Appended, StoreError>> {
+        let end = self.end(stream);
+        let result = if at.is_some_and(|at| at != end) {
+            Err(StoreError::Conflict { end })
+        } else {
+            Ok(Appended {
+                offset: self.push(stream, key, Some(value)),
+                era: self.era.get(),
+            })
+        };
+        async move { result }.boxed_local()
+    }
+}
+
+/// Reports of usage that entries made: token, author, window and counts.
+type Reports = Vec<(FencingToken, Arc<str>, u64, BTreeMap<Organisation, u64>)>;
+
+/// Cloud that records the reports of usage.
+#[derive(Clone, Default)]
+pub struct MemoryCloud {
+    pub reports: Rc<RefCell<Reports>>,
+}
+
+impl Cloud for MemoryCloud {
+    fn report_usage(
+        &self,
+        holder: &LeaseHolder,
+        window: u64,
+        counts: &BTreeMap<Organisation, u64>,
+    ) -> LocalFuture<'_, Result<(), CloudError>> {
+        let report = (holder.token, holder.node.clone(), window, counts.clone());
+        self.reports.borrow_mut().push(report);
+        async move { Ok(()) }.boxed_local()
+    }
+
+    fn order(&self, _: &LeaseHolder, _: &Order) -> LocalFuture<'_, Result<(), CloudError>> {
+        async move { Ok(()) }.boxed_local()
     }
 }
 
@@ -384,17 +466,34 @@
     /// Starts an entry that uses a store of other entries. It does not hear them.
     pub fn start_on(store: MemoryStore) -> Self {
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        Self::start_at(store, "n1", local, free_ports(), Vec::new())
+        Self::start_at(store, "n1", local, free_ports(), Vec::new(), None)
     }
 
     /// Starts entries that use one store and hear each other.
     pub fn start_group(store: &MemoryStore, count: u8) -> Vec<Self> {
+        Self::start_reporting(store, count, None)
+    }
+
+    /// Starts entries that report usage to a cloud, for windows of a second.
+    pub fn start_reporting(
+        store: &MemoryStore,
+        count: u8,
+        cloud: Option<&MemoryCloud>,
+    ) -> Vec<Self> {
         let port = free_ports();
         let address = |number| IpAddr::V4(Ipv4Addr::new(127, 0, 1, number));
         let seeds: Vec<IpAddr> = (1..=count).map(address).collect();
         let start = |number| {
             let name = format!("n{number}");
-            Self::start_at(store.clone(), &name, address(number), port, seeds.clone())
+            let seeds = seeds.clone();
+            Self::start_at(
+                store.clone(),
+                &name,
+                address(number),
+                port,
+                seeds,
+                cloud.cloned(),
+            )
         };
         (1..=count).map(start).collect()
     }
@@ -405,6 +504,7 @@
         local: IpAddr,
         port: u16,
         seeds: Vec<IpAddr>,
+        cloud: Option<MemoryCloud>,
     ) -> Self {
         let address = || SocketAddr::new(local, free_port());
         let settings = Settings {
@@ -422,7 +522,12 @@
             record_bytes: 1 << 18,
             max_descriptors: 4000,
             memory_mb: 300,
-            bounds: bounds(),
+            bounds: Bounds {
+                usage_window: cloud
+                    .as_ref()
+                    .map_or(bounds().usage_window, |_| Millis(1000)),
+                ..bounds()
+            },
         };
         let entry = Self {
             store: store.clone(),
@@ -433,7 +538,7 @@
         };
         let platform = Platform {
             store: Box::new(store),
-            cloud: None,
+            cloud: cloud.map(|cloud| Box::new(cloud) as Box<dyn Cloud>),
             codec: Box::new(JsonCodec),
             dialect: Box::new(HttpDialect),
             clock: Box::new(BootClock),
@@ -555,7 +660,7 @@
     timeout(LIMIT, exchange).await.expect("the connection ends")
 }
 
-async fn get(address: SocketAddr, path: &str) -> String {
+pub async fn get(address: SocketAddr, path: &str) -> String {
     let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     send(address, &text).await
 }
