Report a usage window when the counts of its entries are complete

Cause: the holder of the duty lease fixed the counts of a window 1.5 s after its end, whatever it had heard, so that entries cut off by a partition were lacking. The clocks of entries were also corrected to the median of the live ones only: during a partition each side agreed on a clock of its own, and a side whose clocks were ahead counted requests in windows of the future, which stayed wrong long after the partition. Counts were kept for five windows whatever their length and due time.

Change: digests state which windows they span and the sender's current window, in a field at the end of the datagram. A window is fixed once every entry heard within 60 s has stated it since its end, has restarted, or has stopped, otherwise 2 s before its report is due; another window that is complete does not wait for it. Clocks of silent entries count in the median for 10 minutes. The number of kept windows follows from their length and due time. Each fixed window has a log line.

--- a/crates/cumin-entry/src/peer.rs
+++ b/crates/cumin-entry/src/peer.rs
@@ -84,6 +84,14 @@
 /// Time that a silent entry keeps its share of the quotas while most others are heard.
 pub const SHARE_TIMEOUT: Millis = Millis(8000);
 
+/// Time that a silent entry is still expected to return. A network partition may last as long; no
+/// digests are sent to an address that was not confirmed for longer.
+pub const EXPECTED_TIMEOUT: Millis = Millis(60_000);
+
+/// Time that the clock of a silent entry is still used. Two clocks that are off by 100 parts in a
+/// million diverge by 60 ms in it.
+const CLOCK_TIMEOUT: Millis = Millis(600_000);
+
 /// A peer and its last digest.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -115,7 +123,7 @@
 }
 
 /// Time without confirmation after which a contact is dropped.
-const CONTACT_TTL: Millis = Millis(60_000);
+const CONTACT_TTL: Millis = EXPECTED_TIMEOUT;
 
 impl Peers {
     /// Processes a digest received from the address `from`.
@@ -165,6 +173,29 @@
             .filter(move |peer| now.since(peer.heard) < LIVE_TIMEOUT.0)
     }
 
+    /// Returns the median difference of the entries' wall clocks to this one's, which reads `wall`,
+    /// in milliseconds.
+    ///
+    /// Silent entries count too: their clocks go on. If only live ones counted, a partition would
+    /// move the clocks of its sides apart, and the windows of their counts with them.
+    #[must_use]
+    pub fn clock_drift(&self, wall: WallMillis, now: Millis) -> i64 {
+        let used = self
+            .peers
+            .values()
+            .map(|peer| (peer, now.since(peer.heard)));
+        let used = used.filter(|(_, silence)| *silence < CLOCK_TIMEOUT.0);
+        let mut drifts: Vec<i64> = used
+            .map(|(peer, silence)| {
+                let theirs = peer.digest.wall.0.saturating_add(silence);
+                theirs.cast_signed().saturating_sub(wall.0.cast_signed())
+            })
+            .chain([0])
+            .collect();
+        drifts.sort_unstable();
+        drifts[drifts.len() / 2]
+    }
+
     /// Returns the other entries that hold a share of the quotas.
     ///
     /// A silent entry is dropped only while at least as many other entries are heard as are silent:
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -11,7 +11,8 @@
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::platform::{CloudError, LeaseHolder, StoreError, Stream};
 use cumin_entry::scale::{ScaleOptions, Scaler};
-use cumin_types::{FencingToken, LogOffset, Millis, Service};
+use cumin_entry::usage::Settled;
+use cumin_types::{FencingToken, LogOffset, Millis, NodeName, Service};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::feed;
@@ -20,13 +21,6 @@
 /// Time between two checks of the lease and of the duties that are due.
 const STEP_INTERVAL: Millis = Millis(250);
 
-/// Time from the end of a usage window until it is summed: the digests of all nodes have arrived by
-/// then.
-const SETTLE_TIME: Millis = Millis(1500);
-
-/// Number of past usage windows that are still reported.
-const MAX_PAST_WINDOWS: u64 = 3;
-
 /// Time after which the scalers plan again even if the fleet has not changed.
 const PLAN_INTERVAL: Millis = Millis(1000);
 
@@ -202,16 +196,19 @@
         }
     }
 
-    /// Reports the usage windows that have ended.
+    /// Reports the usage windows that have ended and whose counts are complete or can wait no longer.
     async fn report(&mut self) {
         let node = self.node.clone();
-        let length_ms = node.bounds.get().usage_window.0.max(1);
-        let settled = node.wall().0.saturating_sub(SETTLE_TIME.0) / length_ms;
-        for window in settled.saturating_sub(MAX_PAST_WINDOWS)..settled {
+        let current = node.usage_window();
+        let past = node.usage.borrow().past(current);
+        for window in past {
             if self.lease.delivered(window) || window < self.start_window.saturating_sub(1) {
                 continue;
             }
             if self.lease.report(window).is_none() {
+                if !self.settle(window) {
+                    continue;
+                }
                 let Some(at) = self.lease.end() else { return };
                 let record = Record::Report {
                     node: node.settings.node.clone(),
@@ -247,6 +244,32 @@
         }
     }
 
+    /// Returns whether the counts of a window are to be fixed now.
+    fn settle(&self, window: u64) -> bool {
+        let node = &self.node;
+        let bounds = node.bounds.get();
+        let end = (window + 1).saturating_mul(bounds.usage_window.0.max(1));
+        let since_end = Millis(node.wall().0.saturating_sub(end));
+        let usage = node.usage.borrow();
+        match usage.settle(window, since_end, bounds.usage_due, node.now()) {
+            Settled::Waiting(_) => return false,
+            Settled::Complete => log::info!(
+                "event=usage_settled window={window} state=complete since_end_ms={since_end}"
+            ),
+            Settled::Incomplete(missing) => {
+                node.metrics.incomplete_windows.inc();
+                let names: Vec<&str> = missing.iter().map(NodeName::as_str).collect();
+                log::warn!(
+                    "event=usage_settled window={window} state=incomplete since_end_ms={since_end} \
+                     missing={} nodes={}",
+                    names.len(),
+                    names.join(",")
+                );
+            }
+        }
+        true
+    }
+
     /// Plans the engines of all scaled services and orders the changes.
     async fn order_engines(&mut self) {
         let node = self.node.clone();
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -15,6 +15,7 @@
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
 use cumin_entry::suspects::StatedPart;
+use cumin_entry::usage;
 use cumin_types::Millis;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,10 @@
 /// One digest in this many states the counts of all kept usage windows.
 const FULL_USAGE_PERIOD: u64 = 4;
 
+/// Time within which a digest of an older version, which does not state its usage window, is taken
+/// to arrive.
+const MAX_DIGEST_DELAY: Millis = Millis(500);
+
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -71,7 +76,7 @@
         sequence += 1;
         update_from_peers(&node);
         crash::review(&node);
-        let mut digest = own_digest(&node, sequence);
+        let (mut digest, span) = own_digest(&node, sequence);
         let stated = node.suspects.borrow().stated(node.now());
         digest.suspects = stated.requests;
         let message = Message {
@@ -81,6 +86,7 @@
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
             leaving: node.fleet.borrow().stated_leaving(node.now()),
+            span: Some(span),
         };
         let payload = match message.encode() {
             Ok(payload) => payload,
@@ -110,6 +116,8 @@
     limits: Vec<StatedLimit>,
     reads: Option<StatedSpan>,
     leaving: Vec<StatedLeaving>,
+    /// Usage windows that the digest states.
+    span: Option<usage::StatedSpan>,
 }
 
 impl Message {
@@ -119,7 +127,8 @@
         let payload = postcard::to_extend(&self.parts, payload)?;
         let payload = postcard::to_extend(&self.limits, payload)?;
         let payload = postcard::to_extend(&self.reads, payload)?;
-        postcard::to_extend(&self.leaving, payload)
+        let payload = postcard::to_extend(&self.leaving, payload)?;
+        postcard::to_extend(&self.span, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -129,7 +138,8 @@
         let (parts, rest) = take_or_default(rest)?;
         let (limits, rest) = take_or_default(rest)?;
         let (reads, rest) = take_or_default(rest)?;
-        let (leaving, _) = take_or_default(rest)?;
+        let (leaving, rest) = take_or_default(rest)?;
+        let (span, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -137,6 +147,7 @@
             limits,
             reads,
             leaving,
+            span,
         })
     }
 }
@@ -185,10 +196,16 @@
     }
 }
 
-fn own_digest(node: &Node, sequence: u64) -> Digest {
+/// Returns the digest of this node and the usage windows that it states.
+fn own_digest(node: &Node, sequence: u64) -> (Digest, usage::StatedSpan) {
     let now = node.now();
+    let full = sequence.is_multiple_of(FULL_USAGE_PERIOD);
+    let stopping = matches!(node.phase.get(), Phase::Stopping(_));
+    let usage = node.usage.borrow();
+    let (windows, span) = usage.stated(node.usage_window(), full, stopping);
+    drop(usage);
     let mut selector = node.selector.borrow_mut();
-    Digest {
+    let digest = Digest {
         node: node.settings.node.clone(),
         incarnation: node.incarnation,
         sequence,
@@ -205,11 +222,7 @@
         wall: node.steady_wall(),
         loads: selector.own_loads(),
         sent: selector.take_sent_parts(),
-        usage: if sequence.is_multiple_of(FULL_USAGE_PERIOD) {
-            node.usage.borrow().own().clone()
-        } else {
-            node.usage.borrow().recent(node.usage_window())
-        },
+        usage: windows,
         taken: node.quotas.borrow().taken().clone(),
         suspects: Vec::new(),
         lease: node.lease.get(),
@@ -218,10 +231,11 @@
             .into_iter()
             .map(|(service, demand)| (service, demand.prefilling))
             .collect(),
-    }
+    };
+    (digest, span)
 }
 
-/// Applies the number of live peers to quotas and selection, and their wall clocks to the drift.
+/// Applies the number of live peers to quotas and selection, and the wall clocks of all to the drift.
 fn update_from_peers(node: &Node) {
     let now = node.now();
     let peers = node.peers.borrow();
@@ -238,17 +252,13 @@
     selector.set_nodes(live);
     selector.combine_fits(now);
     drop(selector);
-    let own_ms = saturating_i64(node.steady_wall().0);
-    let mut drifts_ms: Vec<i64> = peers
-        .live(now)
-        .map(|peer| {
-            saturating_i64(peer.digest.wall.0) + saturating_i64(now.since(peer.heard)) - own_ms
-        })
-        .chain([0])
-        .collect();
-    drifts_ms.sort_unstable();
-    node.drift_ms.set(drifts_ms[drifts_ms.len() / 2]);
-    node.usage.borrow_mut().trim(node.usage_window());
+    node.drift_ms
+        .set(peers.clock_drift(node.steady_wall(), now));
+    let bounds = node.bounds.get();
+    let mut usage = node.usage.borrow_mut();
+    usage.set_times(bounds.usage_window, bounds.usage_due);
+    usage.trim(node.usage_window(), now);
+    drop(usage);
     node.stamps.borrow_mut().trim(&peers, now);
 }
 
@@ -286,6 +296,7 @@
         limits,
         reads,
         leaving: stated_leaving,
+        span,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -311,9 +322,15 @@
         wall: digest.wall,
     };
     node.stamps.borrow_mut().heard(&digest.node, proof, now);
+    let span = span.unwrap_or_else(|| {
+        let bounds = node.bounds.get();
+        let sent = node.wall().0.saturating_sub(MAX_DIGEST_DELAY.0);
+        usage::StatedSpan::assumed(sent / bounds.usage_window.0.max(1))
+    });
+    let author = (&digest.node, digest.incarnation);
     node.usage
         .borrow_mut()
-        .merge(&digest.node, digest.incarnation, &digest.usage);
+        .merge(author, &digest.usage, span, now);
     if !(digest.suspects.is_empty() && parts.is_empty()) {
         let mut suspects = node.suspects.borrow_mut();
         suspects.merge_peer(&digest.suspects, parts, now);
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -51,6 +51,7 @@
     pub(crate) document_age: Gauge<f64, AtomicU64>,
     pub(crate) registry_age: Gauge<f64, AtomicU64>,
     pub(crate) lease_token: Gauge,
+    pub(crate) incomplete_windows: Counter,
     pub(crate) endpoints: Gauge,
     pub(crate) peers: Gauge,
     pub(crate) suspects: Gauge,
@@ -82,6 +83,7 @@
             document_age: Gauge::default(),
             registry_age: Gauge::default(),
             lease_token: Gauge::default(),
+            incomplete_windows: Counter::default(),
             endpoints: Gauge::default(),
             peers: Gauge::default(),
             suspects: Gauge::default(),
@@ -141,6 +143,11 @@
             "Token of the lease, 0 without",
             m.lease_token.clone(),
         );
+        registry.register(
+            "usage_incomplete",
+            "Usage windows reported without the counts of all expected nodes",
+            m.incomplete_windows.clone(),
+        );
         registry.register("endpoints", "Endpoints registered", m.endpoints.clone());
         registry.register("peers", "Other nodes heard", m.peers.clone());
         registry.register(
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -143,6 +143,7 @@
 impl Node {
     pub(crate) fn new(settings: Settings, platform: Platform, page_socket: UdpSocket) -> Self {
         let (now, wall) = (platform.clock.now(), platform.clock.wall());
+        let bounds = settings.bounds;
         let memory = MemoryOptions {
             memory_mb: settings.memory_mb,
             ..MemoryOptions::default()
@@ -171,7 +172,7 @@
             selector: RefCell::new(Selector::new(options)),
             quotas: RefCell::default(),
             budgets: RefCell::default(),
-            usage: RefCell::default(),
+            usage: RefCell::new(Usage::new(bounds.usage_window, bounds.usage_due)),
             suspects: RefCell::default(),
             limits: RefCell::new(RateLimits::new(settings.node.clone())),
             memory: RefCell::new(MemoryBudget::new(&memory)),
