Cut off an answer without a length that ends before its request was sent

Cause: an endpoint that closes its connection before it has read a long upload resets it, but the regular end of its output may arrive first. An answer without a length that ended this way passed for a complete one, on plain routes and, after a whole event, on streams.

Change: such an end counts as that of the answer only if the whole request was written and the socket has no error. invalid_answers tries four ways of ending the connection, and six statuses that are none, for plain and streaming routes, fresh and kept connections, bodies with a length and in chunks.

--- a/crates/cumin-http/src/connection.rs
+++ b/crates/cumin-http/src/connection.rs
@@ -248,6 +248,15 @@
         }
     }
 
+    /// Returns whether an end of the input that was read is the end of an answer without a length.
+    ///
+    /// An endpoint that closes its connection before it was sent the whole request resets it, but
+    /// the regular end of its output may arrive first.
+    fn ended_regularly(&self) -> bool {
+        let sent = self.output.is_empty() && self.body.is_empty();
+        sent && !self.write_failed && matches!(self.stream.take_error(), Ok(None))
+    }
+
     /// Waits for input while writing the rest of the request, and returns its size in bytes.
     async fn transfer(&mut self) -> Result<usize, AnswerError> {
         // Without this a read takes 64 bytes once the data of earlier ones were handed out.
@@ -355,7 +364,7 @@
                 Err(AnswerError::Closed(error))
                     if error.kind() == io::ErrorKind::UnexpectedEof
                         && matches!(self.body, Body::UntilClose)
-                        && !self.connection.write_failed =>
+                        && self.connection.ended_regularly() =>
                 {
                     self.body = Body::None;
                     self.connection.unusable = true;
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod endpoint_limit;
 mod event_text;
+mod invalid_answers;
 mod keys;
 mod leaving;
 mod log_lines;
