Test invalid answers of endpoints on the product's own interface

Cause: answers cut off while a long request is being sent, and statuses that are none, had been tried on the platform's entry only.

--- a/crates/cumin-testbed/tests/all/engine_answers.rs
+++ b/crates/cumin-testbed/tests/all/engine_answers.rs
@@ -11,8 +11,8 @@
 use crate::scripted::{Script, Scripted, Step, answer, chunk, chunked_head};
 use crate::support::{KEY, chat, document, start};
 
-/// Starts one node with the scripted engine as the only endpoint of the model.
-pub async fn scripted(script: Script) -> (Testbed, Scripted) {
+/// Starts one node without engines of the model, and returns the name of its service.
+pub async fn without_engines() -> (Testbed, String) {
     let mut document = document();
     let name = document
         .service_of_model(&"crumb-8b".into())
@@ -30,9 +30,14 @@
         engine_count: None,
         ..Options::default()
     };
-    let bed = start(document, options).await;
+    (start(document, options).await, name.to_string())
+}
+
+/// Starts one node with the scripted engine as the only endpoint of the model.
+pub async fn scripted(script: Script) -> (Testbed, Scripted) {
+    let (bed, name) = without_engines().await;
     let engine = Scripted::start(script);
-    engine.register(&bed, Kind::Engine, name.as_str(), "hamilton");
+    engine.register(&bed, Kind::Engine, &name, "hamilton");
     (bed, engine)
 }
 
--- a/crates/cumin-testbed/tests/all/main.rs
+++ b/crates/cumin-testbed/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod engine_answers;
 mod entry_answers;
+mod invalid_answers;
 mod leaving;
 mod log_answers;
 mod overload;
--- a/crates/cumin-testbed/tests/all/scripted.rs
+++ b/crates/cumin-testbed/tests/all/scripted.rs
@@ -68,21 +68,26 @@
 
     /// Lists the server as an instance, so that nodes use it as an endpoint.
     pub fn register(&self, bed: &Testbed, kind: Kind, service: &str, place: &str) {
-        bed.cloud.register(Instance {
-            id: format!("scripted-{}", self.address.port()),
-            token: String::new(),
-            kind,
-            service: service.into(),
-            place: place.into(),
-            class: String::new(),
-            market: Market::Reclaimable,
-            price: 0.0,
-            state: State::Live,
-            address: Some(self.address.to_string()),
-        });
+        register(bed, self.address, kind, service, place);
     }
 }
 
+/// Lists an address as an instance, so that nodes use it as an endpoint.
+pub fn register(bed: &Testbed, address: SocketAddr, kind: Kind, service: &str, place: &str) {
+    bed.cloud.register(Instance {
+        id: format!("scripted-{}", address.port()),
+        token: String::new(),
+        kind,
+        service: service.into(),
+        place: place.into(),
+        class: String::new(),
+        market: Market::Reclaimable,
+        price: 0.0,
+        state: State::Live,
+        address: Some(address.to_string()),
+    });
+}
+
 /// Binds an address without listening on it.
 fn reserve(address: SocketAddr) -> TcpSocket {
     let socket = TcpSocket::new_v4().expect("a socket");
@@ -128,7 +133,7 @@
 }
 
 /// Returns the answer to a call that is not part of a script.
-fn support_answer(request: &str) -> Option<Vec<u8>> {
+pub fn support_answer(request: &str) -> Option<Vec<u8>> {
     let line = request.lines().next()?;
     if line.starts_with("GET /v1/orders ") {
         let served =
