Add cuminctl validate: findings about a document before it is sent

Cause: check stops at documents in TOML and at what makes them invalid. Items that never take effect, and limits that contradict each other, were found only in operation, and documents of the platform in JSON could not be checked at all.

Change: validate reads a document in TOML or the platform's JSON and prints one finding a line with line and name: errors, items that never match, contradictions, and differences from the file of the version in force. Exit status 0, 1 (findings) or 2 (unreadable input).

--- a/crates/cumin-config/src/diff.rs
+++ b/crates/cumin-config/src/diff.rs
@@ -33,8 +33,22 @@
 }
 
 pub(crate) fn changes(old: &Document, new: &Document) -> Vec<(KeyPath, Change)> {
+    sorted_changes(&to_map(old), &to_map(new))
+}
+
+/// Returns the keys that differ between two tables, sorted; each with the parts of its path.
+#[must_use]
+pub fn diff_tables(
+    old: &Map<String, Value>,
+    new: &Map<String, Value>,
+) -> Vec<(Vec<String>, Change)> {
+    let changes = sorted_changes(old, new).into_iter();
+    changes.map(|(path, change)| (path.0, change)).collect()
+}
+
+fn sorted_changes(old: &Map<String, Value>, new: &Map<String, Value>) -> Vec<(KeyPath, Change)> {
     let mut found = Vec::new();
-    tables(&KeyPath::default(), &to_map(old), &to_map(new), &mut found);
+    tables(&KeyPath::default(), old, new, &mut found);
     found.sort_by(|(left, _), (right, _)| left.cmp(right));
     found
 }
--- a/crates/cumin-config/src/lib.rs
+++ b/crates/cumin-config/src/lib.rs
@@ -12,12 +12,13 @@
 mod pattern;
 mod problem;
 mod promote;
+mod review;
 mod schema;
 mod settings;
 mod source;
 mod validate;
 
-pub use diff::{Change, diff};
+pub use diff::{Change, diff, diff_tables};
 pub use document::{
     Budget, ClassSpec, DEFAULT_KEY_RETENTION_S, Document, Entry, Environment, EnvironmentKind,
     Fencing, Market, Method, ModelSpec, Objective, Offer, OrganisationSpec, PlaceSpec, Promises,
@@ -26,5 +27,6 @@
 pub use key::{KEY_PREFIX, generate_key, key_digest};
 pub use problem::{Problem, Problems};
 pub use promote::{OVERRIDABLE, promote, promotion_diff, untested_changes};
+pub use review::{Finding, review};
 pub use schema::{schema, settings_schema};
 pub use settings::{Limits, MIN_SECRET_CHARS, Secret, SecretError, Settings};
--- a/crates/cumin-core/src/ctl.rs
+++ b/crates/cumin-core/src/ctl.rs
@@ -11,7 +11,7 @@
 use crate::{Status, Terminal, UsageError};
 use crate::{
     apply, check, demo, diff, drain, explain, history, keygen, load, operate, promote, schema,
-    status,
+    status, validate,
 };
 
 const HELP: &str = "\
@@ -23,6 +23,7 @@
   load     send load at a steady rate; `load relay` measures a node's cost
   check    check documents, or settings with --settings
   diff     list the keys that differ between two documents
+  validate print findings about a document before it is sent
   apply    make a document the next revision
   promote  make the production document of a tested one and its overrides
   keygen   make an organisation key and its digest
@@ -34,12 +35,12 @@
 
 `cuminctl COMMAND --help` describes a command.
 
-exit status: 0 done, 1 a promise or a comparison did not hold or a change lost, 2 bad usage or input, 3 the system
-could not be reached or refused";
+exit status: 0 done, 1 a promise or a comparison did not hold, a change lost or there are findings, 2
+bad usage or input, 3 the system could not be reached or refused";
 
-const COMMANDS: [&str; 12] = [
+const COMMANDS: [&str; 13] = [
     "demo", "load", "check", "diff", "apply", "promote", "keygen", "schema", "history", "status",
-    "explain", "drain",
+    "explain", "drain", "validate",
 ];
 
 /// An input file that can't be used.
@@ -95,14 +96,16 @@
     Demo(demo::Error),
     Load(load::Error),
     Operate(operate::Error),
+    Validate(validate::Error),
 }
 
 impl Failure {
     fn status(&self) -> Status {
         match self {
-            Self::Usage(_) | Self::File(_) | Self::Operate(operate::Error::File(_)) => {
-                Status::Usage
-            }
+            Self::Usage(_)
+            | Self::File(_)
+            | Self::Operate(operate::Error::File(_))
+            | Self::Validate(_) => Status::Usage,
             Self::Demo(error) => error.status(),
             Self::Load(error) => error.status(),
             Self::Operate(operate::Error::Call(_)) => Status::Unavailable,
@@ -125,6 +128,7 @@
         "load" => (load::HELP, load::command),
         "check" => (check::HELP, check::command),
         "diff" => (diff::HELP, diff::command),
+        "validate" => (validate::HELP, validate::command),
         "promote" => (promote::HELP, promote::command),
         "keygen" => (keygen::HELP, keygen::command),
         "schema" => (schema::HELP, schema::command),
--- a/crates/cumin-core/src/lib.rs
+++ b/crates/cumin-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod schema;
 pub mod status;
 mod terminal;
+pub mod validate;
 
 use std::env;
 use std::ffi::OsString;
--- a/crates/cumin-core/tests/all/main.rs
+++ b/crates/cumin-core/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod load_report;
 mod operate;
 mod support;
+mod validate;
--- a/crates/cumin-serve/tests/all/invalid_answers.rs
+++ b/crates/cumin-serve/tests/all/invalid_answers.rs
@@ -129,8 +129,8 @@
 /// Calls all combinations of a connection and a request body, each at an entry of its own, so that no
 /// earlier answer decides whether a connection is reused.
 async fn each(path: &str, answer: (&str, Option<End>), text: &str, check: impl Fn(&str, &str)) {
-    let cells = [(false, false), (false, true), (true, false), (true, true)];
-    let calls = cells.map(|(kept, chunked)| async move {
+    let combinations = [(false, false), (false, true), (true, false), (true, true)];
+    let answers = combinations.map(|(kept, chunked)| async move {
         let script = Script {
             text: answer.0.to_owned(),
             end: answer.1,
@@ -142,7 +142,7 @@
             got,
         )
     });
-    for (case, got) in join_all(calls).await {
+    for (case, got) in join_all(answers).await {
         check(&case, &got);
     }
 }
