Log a usage window when its counts are fixed, and hide values in findings

Cause: the log line and metric of an incomplete window came before the append that fixes it, so they repeated while the store was unavailable; a sender whose clock was corrected backwards still passed for having stated windows that had not ended; a key of a caller written as another type was shown in a finding about a document in JSON.

Change: the line follows the append; windows from the sender's current one on are dropped from those it has stated; a value of the wrong type is not shown.

Result: the tests of usage (with a case for the clock) and of validate (with a case for the key) pass.

--- a/crates/cumin-core/tests/all/validate.rs
+++ b/crates/cumin-core/tests/all/validate.rs
@@ -104,7 +104,12 @@
         (
             r#""max_connections": 10}"#,
             r#""max_connections": "ten"}"#,
-            "line 8: document: error: ",
+            "line 8: document: error: found a value that is not shown; expected u32",
+        ),
+        (
+            r#"["secret-1"]"#,
+            r#""secret-1""#,
+            "line 12: document: error: found a value that is not shown; expected a sequence",
         ),
         (
             r#""version": 3,"#,
--- a/crates/cumin-entry/src/usage.rs
+++ b/crates/cumin-entry/src/usage.rs
@@ -216,7 +216,9 @@
         sender.stopping = span.stopping;
         let oldest = (span.current + 1).saturating_sub(self.kept);
         sender.stated.extend(span.first.max(oldest)..span.current);
-        sender.stated.retain(|window| *window >= oldest);
+        // A sender whose clock was corrected backwards may still count in windows that it stated.
+        let past = oldest..span.current;
+        sender.stated.retain(|window| past.contains(window));
     }
 
     /// Returns whether the counts of a window are reported now. `since_end` is the time since its
--- a/crates/cumin-entry/tests/all/usage.rs
+++ b/crates/cumin-entry/tests/all/usage.rs
@@ -304,6 +304,11 @@
             vec![(2, span(99, 100)), (1, span(100, 101))],
             Settled::Waiting(missing()),
         ),
+        // A clock that was corrected backwards stated windows that had not ended.
+        (
+            vec![(1, span(100, 104)), (1, span(99, 100))],
+            Settled::Waiting(missing()),
+        ),
         (vec![(1, StatedSpan::assumed(101))], Settled::Complete),
         (
             vec![(1, StatedSpan::assumed(100))],
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -206,9 +206,9 @@
                 continue;
             }
             if self.lease.report(window).is_none() {
-                if !self.settle(window) {
+                let Some(missing) = self.settle(window) else {
                     continue;
-                }
+                };
                 let Some(at) = self.lease.end() else { return };
                 let record = Record::Report {
                     node: node.settings.node.clone(),
@@ -221,6 +221,7 @@
                 if !self.append(record, at).await {
                     return;
                 }
+                self.log_settled(window, &missing);
             }
             let now = node.now();
             let (Some(token), Some(cloud)) = (self.lease.may_act(now), &node.platform.cloud) else {
@@ -244,30 +245,41 @@
         }
     }
 
-    /// Returns whether the counts of a window are to be fixed now.
-    fn settle(&self, window: u64) -> bool {
+    /// Returns the nodes whose counts of a window may be lacking if the counts are to be fixed now.
+    fn settle(&self, window: u64) -> Option<Vec<NodeName>> {
         let node = &self.node;
-        let bounds = node.bounds.get();
-        let end = (window + 1).saturating_mul(bounds.usage_window.0.max(1));
-        let since_end = Millis(node.wall().0.saturating_sub(end));
+        let due = node.bounds.get().usage_due;
         let usage = node.usage.borrow();
-        match usage.settle(window, since_end, bounds.usage_due, node.now()) {
-            Settled::Waiting(_) => return false,
-            Settled::Complete => log::info!(
+        match usage.settle(window, self.since_end(window), due, node.now()) {
+            Settled::Waiting(_) => None,
+            Settled::Complete => Some(Vec::new()),
+            Settled::Incomplete(missing) => Some(missing),
+        }
+    }
+
+    /// Returns the time since the end of a window.
+    fn since_end(&self, window: u64) -> Millis {
+        let length_ms = self.node.bounds.get().usage_window.0.max(1);
+        let end = (window + 1).saturating_mul(length_ms);
+        Millis(self.node.wall().0.saturating_sub(end))
+    }
+
+    fn log_settled(&self, window: u64, missing: &[NodeName]) {
+        let since_end = self.since_end(window);
+        if missing.is_empty() {
+            log::info!(
                 "event=usage_settled window={window} state=complete since_end_ms={since_end}"
-            ),
-            Settled::Incomplete(missing) => {
-                node.metrics.incomplete_windows.inc();
-                let names: Vec<&str> = missing.iter().map(NodeName::as_str).collect();
-                log::warn!(
-                    "event=usage_settled window={window} state=incomplete since_end_ms={since_end} \
-                     missing={} nodes={}",
-                    names.len(),
-                    names.join(",")
-                );
-            }
+            );
+            return;
         }
-        true
+        self.node.metrics.incomplete_windows.inc();
+        let names: Vec<&str> = missing.iter().map(NodeName::as_str).collect();
+        log::warn!(
+            "event=usage_settled window={window} state=incomplete since_end_ms={since_end} \
+             missing={} nodes={}",
+            names.len(),
+            names.join(",")
+        );
     }
 
     /// Plans the engines of all scaled services and orders the changes.
