--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod selection;
 mod stop;
 mod suspects;
+mod usage;
 
 use std::net::SocketAddr;
 
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -12,7 +12,8 @@
 use cumin_entry::fleet::{Endpoint, LAPSE_GRACE};
 use cumin_entry::platform::{CloudError, LeaseHolder, StoreError, Stream};
 use cumin_entry::scale::{ScaleOptions, Scaler};
-use cumin_types::{FencingToken, LogOffset, Millis, Service};
+use cumin_entry::usage::Settled;
+use cumin_types::{FencingToken, LogOffset, Millis, NodeName, Service};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::era;
@@ -22,13 +23,6 @@
 /// Time between two checks of the lease and of the duties that are due.
 const STEP_INTERVAL: Millis = Millis(250);
 
-/// Time from the end of a usage window until it is summed: the digests of all nodes have arrived by
-/// then.
-const SETTLE_TIME: Millis = Millis(1500);
-
-/// Number of past usage windows that are still reported.
-const MAX_PAST_WINDOWS: u64 = 3;
-
 /// Time after which the scalers plan again even if the fleet has not changed.
 const PLAN_INTERVAL: Millis = Millis(1000);
 
@@ -245,16 +239,23 @@
         }
     }
 
-    /// Reports the usage windows that have ended.
+    /// Reports the usage windows that have ended and whose counts are complete or can wait no longer.
     async fn report(&mut self) {
         let node = self.node.clone();
-        let length_ms = node.bounds.get().usage_window.0.max(1);
-        let settled = node.wall().0.saturating_sub(SETTLE_TIME.0) / length_ms;
-        for window in settled.saturating_sub(MAX_PAST_WINDOWS)..settled {
+        let current = node.usage_window();
+        let past = node.usage.borrow().past(current);
+        for window in past {
             if self.lease.delivered(window) || window < self.start_window.saturating_sub(1) {
                 continue;
             }
             if self.lease.report(window).is_none() {
+                let Some(missing) = self.settle(window) else {
+                    if self.lease.era().is_unknown() {
+                        continue;
+                    }
+                    // After a restore, a report stands for all windows before it.
+                    return;
+                };
                 let Some(at) = self.lease.end() else { return };
                 let remembered = self.lease.remembered(window).cloned();
                 let reported = node.marks.get().window;
@@ -274,6 +275,7 @@
                 if !self.append(record, at).await {
                     return;
                 }
+                self.log_settled(window, &missing);
             }
             let now = node.now();
             let (Some(token), Some(cloud)) = (self.lease.may_act(now), &node.platform.cloud) else {
@@ -320,6 +322,43 @@
         eras.newest().is_unknown() || (listed && (settled || self.lease.continued()))
     }
 
+    /// Returns the nodes whose counts of a window may be lacking if the counts are to be fixed now.
+    fn settle(&self, window: u64) -> Option<Vec<NodeName>> {
+        let node = &self.node;
+        let due = node.bounds.get().usage_due;
+        let usage = node.usage.borrow();
+        match usage.settle(window, self.since_end(window), due, node.now()) {
+            Settled::Waiting(_) => None,
+            Settled::Complete => Some(Vec::new()),
+            Settled::Incomplete(missing) => Some(missing),
+        }
+    }
+
+    /// Returns the time since the end of a window.
+    fn since_end(&self, window: u64) -> Millis {
+        let length_ms = self.node.bounds.get().usage_window.0.max(1);
+        let end = (window + 1).saturating_mul(length_ms);
+        Millis(self.node.wall().0.saturating_sub(end))
+    }
+
+    fn log_settled(&self, window: u64, missing: &[NodeName]) {
+        let since_end = self.since_end(window);
+        if missing.is_empty() {
+            log::info!(
+                "event=usage_settled window={window} state=complete since_end_ms={since_end}"
+            );
+            return;
+        }
+        self.node.metrics.incomplete_windows.inc();
+        let names: Vec<&str> = missing.iter().map(NodeName::as_str).collect();
+        log::warn!(
+            "event=usage_settled window={window} state=incomplete since_end_ms={since_end} \
+             missing={} nodes={}",
+            names.len(),
+            names.join(",")
+        );
+    }
+
     /// Plans the engines of all scaled services and orders the changes.
     async fn order_engines(&mut self) {
         let node = self.node.clone();
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -51,6 +51,7 @@
     pub(crate) document_age: Gauge<f64, AtomicU64>,
     pub(crate) registry_age: Gauge<f64, AtomicU64>,
     pub(crate) lease_token: Gauge,
+    pub(crate) incomplete_windows: Counter,
     pub(crate) endpoints: Gauge,
     pub(crate) peers: Gauge,
     pub(crate) suspects: Gauge,
@@ -84,6 +85,7 @@
             document_age: Gauge::default(),
             registry_age: Gauge::default(),
             lease_token: Gauge::default(),
+            incomplete_windows: Counter::default(),
             endpoints: Gauge::default(),
             peers: Gauge::default(),
             suspects: Gauge::default(),
@@ -113,13 +115,7 @@
             "Attempts at endpoints by end",
             m.attempts.clone(),
         );
-        registry.register("store_calls", "Calls to the store", m.store_calls.clone());
-        registry.register("store_era", "Era of the store", m.store_era.clone());
-        registry.register(
-            "store_restores",
-            "New eras of the store that were noticed",
-            m.store_restores.clone(),
-        );
+        register_store(&mut registry, m);
         registry.register(
             "endpoint_connections",
             "Connections opened to endpoints",
@@ -151,6 +147,11 @@
             "Token of the lease, 0 without",
             m.lease_token.clone(),
         );
+        registry.register(
+            "usage_incomplete",
+            "Usage windows reported without the counts of all expected nodes",
+            m.incomplete_windows.clone(),
+        );
         registry.register("endpoints", "Endpoints registered", m.endpoints.clone());
         registry.register("peers", "Other nodes heard", m.peers.clone());
         registry.register(
@@ -171,6 +172,19 @@
     }
 }
 
+/// Registers the metrics of the store.
+fn register_store(registry: &mut Registry, metrics: &Metrics) {
+    let calls = metrics.store_calls.clone();
+    registry.register("store_calls", "Calls to the store", calls);
+    let era = metrics.store_era.clone();
+    registry.register("store_era", "Era of the store", era);
+    registry.register(
+        "store_restores",
+        "New eras of the store that were noticed",
+        metrics.store_restores.clone(),
+    );
+}
+
 /// Registers the gauges of limits: those that endpoints state, and that of the memory.
 fn register_bounds(registry: &mut Registry, metrics: &Metrics) {
     for (name, help, gauge) in [
