--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -138,6 +138,7 @@
             Err(StoreError::Beyond) => {
                 log::info!("event=records_lost stream={stream}");
                 feed.at.set(None);
+                tokio::time::sleep(MIN_RETRY_PAUSE.duration()).await;
             }
             Err(error) => {
                 let mut current = feed.freshness.get();
