Test that usage reports wait for a peer that is cut off

Cause: the decision was tested without the shell that sends digests and reports.

Change: an entry with a recording cloud hears a peer over UDP, which is cut off for 3 s of windows of 1 s whose reports are due after 6 s. support starts an entry with given settings and a cloud.

--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -22,3 +22,4 @@
 mod support;
 mod unframed;
 mod unnamed_requests;
+mod usage_reports;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cumin_entry::platform::{LocalFuture, Page, Record, Store, StoreError, Stream};
+use cumin_entry::platform::{Cloud, LocalFuture, Page, Record, Store, StoreError, Stream};
 use cumin_entry::quota::Tolerance;
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_platform::{HttpDialect, JsonCodec};
@@ -334,7 +334,7 @@
 }
 
 /// Returns a free port that two more follow, for the metrics and the relayed pages.
-fn free_ports() -> u16 {
+pub fn free_ports() -> u16 {
     loop {
         let ports = [free_port(), free_port(), free_port()];
         if ports[1] == ports[0] + 1 && ports[2] == ports[0] + 2 {
@@ -362,6 +362,28 @@
     }
 }
 
+/// Returns the settings of an entry.
+pub fn settings(name: &str, local: IpAddr, port: u16, seeds: Vec<IpAddr>) -> Settings {
+    let address = || SocketAddr::new(local, free_port());
+    Settings {
+        node: NodeName::from(name),
+        place: Place::from("a"),
+        region: Region::from("r"),
+        address: local,
+        caller_address: Some(address()),
+        readiness_address: Some(address()),
+        directory_address: Some(address()),
+        base_port: port,
+        seeds,
+        store_address: address(),
+        cloud_address: None,
+        record_bytes: 1 << 18,
+        max_descriptors: 4000,
+        memory_mb: 300,
+        bounds: bounds(),
+    }
+}
+
 impl Entry {
     /// Starts an entry and waits until it is ready.
     pub async fn start(plain: &[&Endpoint], engines: &[&Endpoint]) -> Self {
@@ -406,34 +428,25 @@
         port: u16,
         seeds: Vec<IpAddr>,
     ) -> Self {
-        let address = || SocketAddr::new(local, free_port());
-        let settings = Settings {
-            node: NodeName::from(name),
-            place: Place::from("a"),
-            region: Region::from("r"),
-            address: local,
-            caller_address: Some(address()),
-            readiness_address: Some(address()),
-            directory_address: Some(address()),
-            base_port: port,
-            seeds,
-            store_address: address(),
-            cloud_address: None,
-            record_bytes: 1 << 18,
-            max_descriptors: 4000,
-            memory_mb: 300,
-            bounds: bounds(),
-        };
+        Self::start_with(store, settings(name, local, port, seeds), None)
+    }
+
+    /// Starts an entry with these settings, and with access to the cloud if one is given.
+    pub fn start_with(
+        store: MemoryStore,
+        settings: Settings,
+        cloud: Option<Box<dyn Cloud>>,
+    ) -> Self {
         let entry = Self {
             store: store.clone(),
             callers: settings.caller_address.unwrap(),
             directory: settings.directory_address.unwrap(),
-            metrics: SocketAddr::new(local, port + 1),
+            metrics: SocketAddr::new(settings.address, settings.base_port + 1),
             version: Cell::new(0),
         };
         let platform = Platform {
             store: Box::new(store),
-            cloud: None,
+            cloud,
             codec: Box::new(JsonCodec),
             dialect: Box::new(HttpDialect),
             clock: Box::new(BootClock),
