Send shorter uploads in the tests of invalid answers

Cause: uploads of 9 MB in four exchanges at once took much processor time from the other tests.

Change: the endpoint's socket has a small receive buffer, so that 4 MB suffice.

--- a/crates/cumin-serve/tests/all/invalid_answers.rs
+++ b/crates/cumin-serve/tests/all/invalid_answers.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::join_all;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
 use crate::support::{Entry, body, read_request, request, run, send};
@@ -15,7 +15,7 @@
 const SIGNED: &str = "X-Attempt-Id: abc123\r\nX-Response-Seal: s\r\n";
 
 /// More than the sockets buffer, so that a part is still to be sent when the answer ends.
-const LONG: usize = 9_000_000;
+const LONG: usize = 4_000_000;
 
 /// How an endpoint ends the connection of its answer.
 #[derive(Clone, Copy, Debug)]
@@ -91,7 +91,11 @@
 
 impl Site {
     async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        // The rest of a long request stays with its sender.
+        socket.set_recv_buffer_size(16 * 1024).unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let listener = socket.listen(64).unwrap();
         let address = listener.local_addr().unwrap();
         let site = Self {
             entry: Entry::start(&[], &[]).await,
