--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -23,3 +23,4 @@
 mod support;
 mod unframed;
 mod unnamed_requests;
+mod usage_reports;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -416,7 +416,7 @@
 }
 
 /// Returns a free port that two more follow, for the metrics and the relayed pages.
-fn free_ports() -> u16 {
+pub fn free_ports() -> u16 {
     loop {
         let ports = [free_port(), free_port(), free_port()];
         if ports[1] == ports[0] + 1 && ports[2] == ports[0] + 2 {
@@ -444,6 +444,28 @@
     }
 }
 
+/// Returns the settings of an entry.
+pub fn settings(name: &str, local: IpAddr, port: u16, seeds: Vec<IpAddr>) -> Settings {
+    let address = || SocketAddr::new(local, free_port());
+    Settings {
+        node: NodeName::from(name),
+        place: Place::from("a"),
+        region: Region::from("r"),
+        address: local,
+        caller_address: Some(address()),
+        readiness_address: Some(address()),
+        directory_address: Some(address()),
+        base_port: port,
+        seeds,
+        store_address: address(),
+        cloud_address: None,
+        record_bytes: 1 << 18,
+        max_descriptors: 4000,
+        memory_mb: 300,
+        bounds: bounds(),
+    }
+}
+
 impl Entry {
     /// Starts an entry and waits until it is ready.
     pub async fn start(plain: &[&Endpoint], engines: &[&Endpoint]) -> Self {
@@ -506,39 +528,30 @@
         seeds: Vec<IpAddr>,
         cloud: Option<MemoryCloud>,
     ) -> Self {
-        let address = || SocketAddr::new(local, free_port());
-        let settings = Settings {
-            node: NodeName::from(name),
-            place: Place::from("a"),
-            region: Region::from("r"),
-            address: local,
-            caller_address: Some(address()),
-            readiness_address: Some(address()),
-            directory_address: Some(address()),
-            base_port: port,
-            seeds,
-            store_address: address(),
-            cloud_address: None,
-            record_bytes: 1 << 18,
-            max_descriptors: 4000,
-            memory_mb: 300,
-            bounds: Bounds {
-                usage_window: cloud
-                    .as_ref()
-                    .map_or(bounds().usage_window, |_| Millis(1000)),
-                ..bounds()
-            },
-        };
+        let mut settings = settings(name, local, port, seeds);
+        if cloud.is_some() {
+            settings.bounds.usage_window = Millis(1000);
+        }
+        let cloud = cloud.map(|cloud| Box::new(cloud) as Box<dyn Cloud>);
+        Self::start_with(store, settings, cloud)
+    }
+
+    /// Starts an entry with these settings, and with access to the cloud if one is given.
+    pub fn start_with(
+        store: MemoryStore,
+        settings: Settings,
+        cloud: Option<Box<dyn Cloud>>,
+    ) -> Self {
         let entry = Self {
             store: store.clone(),
             callers: settings.caller_address.unwrap(),
             directory: settings.directory_address.unwrap(),
-            metrics: SocketAddr::new(local, port + 1),
+            metrics: SocketAddr::new(settings.address, settings.base_port + 1),
             version: Cell::new(0),
         };
         let platform = Platform {
             store: Box::new(store),
-            cloud: cloud.map(|cloud| Box::new(cloud) as Box<dyn Cloud>),
+            cloud,
             codec: Box::new(JsonCodec),
             dialect: Box::new(HttpDialect),
             clock: Box::new(BootClock),
