--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -21,54 +21,26 @@
 //! * An endpoint that accepts requests but does not answer: it is ranked last if it has
 //!   unanswered requests and was silent for longer than expected.
 
+mod cache;
+mod choice;
+mod cost;
+mod load;
 mod mean_time;
 mod models;
 mod trials;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::fmt;
+use std::collections::BTreeMap;
 
-use cumin_types::{EndpointName, Millis, Place, Service, score};
-use serde::{Deserialize, Serialize};
+use cumin_types::{EndpointName, Millis, Place, Service};
 
-use self::mean_time::MeanTime;
-use crate::engine::{Demand, EngineModel};
+pub use self::cache::{Part, PartList, SentPart, shared_parts};
+pub use self::choice::Choice;
+use self::cost::MeanDemand;
+pub use self::load::NodeLoad;
+use self::load::{ActiveAttempt, Load};
+use crate::engine::EngineModel;
 use crate::fleet::{Endpoint, Fleet};
 use crate::learn::{LearnOptions, Learner, Queue};
-use crate::trials::Trials;
-
-/// A part of a prompt, which other prompts may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Part {
-    /// Identifier of the content.
-    pub id: u64,
-    /// Number of tokens.
-    pub tokens: u32,
-}
-
-/// Returns the parts that other prompts may share: all but the last one.
-#[must_use]
-pub fn shared_parts(parts: &[Part]) -> &[Part] {
-    parts.split_last().map_or(&[], |(_, shared)| shared)
-}
-
-/// Formats the identifiers of parts for a log line.
-#[derive(Clone, Copy, Debug)]
-pub struct PartList<'a>(pub &'a [Part]);
-
-impl fmt::Display for PartList<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if self.0.is_empty() {
-            return f.write_str("-");
-        }
-        for (index, part) in self.0.iter().enumerate() {
-            let comma = if index == 0 { "" } else { "," };
-            write!(f, "{comma}{:x}", part.id)?;
-        }
-        Ok(())
-    }
-}
 
 /// Properties of a request that the selection depends on.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -140,126 +112,6 @@
 /// Identifies an attempt that this node has in flight.
 pub type AttemptNumber = u64;
 
-#[derive(Clone, Debug)]
-struct ActiveAttempt {
-    sent: Millis,
-    /// Uncached prompt tokens; zero once the answer has begun.
-    prefill_tokens: f64,
-    output: f64,
-    /// Time of the last event, once the answer has begun.
-    last_event: Option<Millis>,
-    estimate_ms: f64,
-    /// Whether it runs on a model engine.
-    engine: bool,
-    /// What it found at the engine, unless its times are no sample.
-    queue: Option<Queue>,
-    /// Time to the goal if it is a trial.
-    trial_goal: Option<f64>,
-}
-
-/// Load that one node puts on an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct NodeLoad {
-    /// Requests in flight.
-    pub running: u32,
-    /// Prompt tokens still to be prefilled.
-    #[serde(rename = "unread")]
-    pub prefill_tokens: u32,
-}
-
-/// Prompt parts that an endpoint is assumed to have cached, evicted in least recently used order.
-#[derive(Debug, Default)]
-struct Cache {
-    /// Token count and latest stamp of each part, by its identifier.
-    parts: HashMap<u64, (u32, u64)>,
-    /// Identifier and stamp of each use, oldest first.
-    order: VecDeque<(u64, u64)>,
-    tokens: u64,
-    stamp: u64,
-}
-
-impl Cache {
-    fn touch(&mut self, part: Part, capacity: u64) {
-        self.stamp += 1;
-        let old = self.parts.insert(part.id, (part.tokens, self.stamp));
-        if old.is_none() {
-            self.tokens += u64::from(part.tokens);
-        }
-        self.order.push_back((part.id, self.stamp));
-        while self.tokens > capacity || self.order.len() > 4 * self.parts.len() + 16 {
-            let Some((id, stamp)) = self.order.pop_front() else {
-                break;
-            };
-            if self
-                .parts
-                .get(&id)
-                .is_some_and(|(_, newest)| *newest == stamp)
-                && let Some((tokens, _)) = self.parts.remove(&id)
-            {
-                self.tokens -= u64::from(tokens);
-            }
-        }
-    }
-
-    /// Returns the tokens of the longest cached prefix.
-    fn cached_prefix(&self, parts: &[Part]) -> u64 {
-        let cached = parts.iter().take_while(|p| self.parts.contains_key(&p.id));
-        cached.map(|part| u64::from(part.tokens)).sum()
-    }
-}
-
-#[derive(Debug, Default)]
-struct Load {
-    started_ms: u64,
-    attempts: HashMap<AttemptNumber, ActiveAttempt>,
-    peers: BTreeMap<String, (NodeLoad, Millis)>,
-    cache: Cache,
-    /// Time of the last data from the endpoint to this node.
-    last_heard: Millis,
-    /// End of the cooldown, and the number of failed connections in a row.
-    cooldown: Option<(Millis, u32)>,
-    /// Time of a plain request until its answer begins.
-    first: MeanTime,
-    /// Time of a plain request until its end.
-    whole: MeanTime,
-    /// Requests that may still run as trials: a share of those that would have been refused.
-    trials: Trials,
-}
-
-/// Outcome of a selection.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Choice {
-    /// Send the request to an endpoint.
-    Use {
-        /// The chosen endpoint.
-        endpoint: EndpointName,
-        /// Estimated time to the first event or the answer.
-        estimate_ms: f64,
-        /// Prompt tokens assumed to be cached there.
-        cached: u64,
-    },
-    /// No endpoint can answer in time.
-    Full {
-        /// Best estimate among the endpoints.
-        estimate_ms: f64,
-        /// Time after which the caller may retry.
-        retry_after: Millis,
-    },
-    /// No endpoint accepts work.
-    NoEndpoint,
-}
-
-/// A prompt part that was sent to an endpoint, as stated to peers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct SentPart {
-    /// The endpoint.
-    pub endpoint: EndpointName,
-    /// The part.
-    pub part: Part,
-}
-
 /// Selects endpoints by their load and caches, as far as one node knows them.
 #[derive(Debug)]
 pub struct Selector {
@@ -280,50 +132,6 @@
     gaps_seen: u32,
 }
 
-/// Demand for engines, as an exponentially decayed mean.
-#[derive(Clone, Copy, Debug)]
-struct MeanDemand {
-    /// Decayed sum of the time to prefill.
-    prefill_ms: f64,
-    /// Decayed sum of output tokens.
-    output: f64,
-    /// Time at which the sum was last decayed.
-    updated: Millis,
-    /// Time of the first request.
-    since: Millis,
-}
-
-impl MeanDemand {
-    fn add(&mut self, prefill_ms: f64, output: f64, now: Millis) {
-        let kept = decay(self.updated, now);
-        self.prefill_ms = self.prefill_ms * kept + prefill_ms;
-        self.output = self.output * kept + output;
-        self.updated = now;
-    }
-
-    /// Returns the mean.
-    ///
-    /// Until the span has passed, the mean covers only the time since the first request.
-    fn mean(&self, now: Millis) -> Demand {
-        let seen = now.since(self.since).max(MIN_DEMAND_SPAN.0);
-        let weight = 1.0 - decay(Millis(0), Millis(seen));
-        let scale = decay(self.updated, now) / (DEMAND_SPAN_MS * weight);
-        Demand {
-            prefilling: self.prefill_ms * scale,
-            output_rate: self.output * scale,
-        }
-    }
-}
-
-/// Minimum time that a demand covers; a mean over less would follow single requests.
-const MIN_DEMAND_SPAN: Millis = Millis(1000);
-
-/// Time constant of the mean demand for engine time.
-const DEMAND_SPAN_MS: f64 = 5000.0;
-
-/// Time for which the load stated by a peer counts: four of its digests.
-const PEER_LOAD_TTL: Millis = Millis(1000);
-
 /// Maximum number of parts that wait for the next digest.
 const MAX_SENT_PARTS: usize = 64;
 
@@ -345,127 +153,11 @@
         }
     }
 
-    /// Chooses an endpoint of a service, leaving out those in `avoid`.
-    ///
-    /// Endpoints in their cooldown are left out unless all are. Those that leave are considered only
-    /// if no other one can be used.
-    pub fn choose(
-        &mut self,
-        fleet: &Fleet,
-        service: &Service,
-        need: &Need,
-        avoid: &[EndpointName],
-        now: Millis,
-    ) -> Choice {
-        let candidates: Vec<&Endpoint> = fleet
-            .usable(service, now)
-            .filter(|endpoint| !avoid.contains(&endpoint.name))
-            .collect();
-        let all_cooling = candidates
-            .iter()
-            .all(|endpoint| self.cooling_down(&endpoint.name, now));
-        let open = candidates
-            .into_iter()
-            .filter(|endpoint| all_cooling || !self.cooling_down(&endpoint.name, now));
-        let (leaving, staying): (Vec<_>, Vec<_>) =
-            open.partition(|endpoint| fleet.is_leaving(endpoint));
-        let choice = self.choose_among(staying, need, now);
-        if matches!(choice, Choice::Use { .. }) || leaving.is_empty() {
-            return choice;
-        }
-        let last = self.choose_among(leaving, need, now);
-        let is_full = matches!(choice, Choice::Full { .. });
-        if is_full && !matches!(last, Choice::Use { .. }) {
-            return choice;
-        }
-        last
-    }
-
-    fn choose_among(&mut self, mut open: Vec<&Endpoint>, need: &Need, now: Millis) -> Choice {
-        self.sample(&mut open, need);
-        if !need.engine && self.nodes >= MIN_RANDOM_NODES {
-            self.keep_random(&mut open, now);
-        }
-        let scored = open.iter().map(|endpoint| {
-            let (score, estimate_ms, cached) = self.score(endpoint, need, now);
-            (score, estimate_ms, cached, *endpoint)
-        });
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, estimate_ms, cached, endpoint)) = best else {
-            return Choice::NoEndpoint;
-        };
-        let limit = millis(need.goal_left) * self.options.goal_share;
-        if estimate_ms > limit && !self.take_trial(endpoint, need, now) {
-            let over = estimate_ms - limit;
-            return Choice::Full {
-                estimate_ms,
-                retry_after: to_millis(over),
-            };
-        }
-        Choice::Use {
-            endpoint: endpoint.name.clone(),
-            estimate_ms,
-            cached,
-        }
-    }
-
     /// Sets the number of nodes that send requests to the endpoints, including this one.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = nodes.max(1);
     }
 
-    /// Reduces the endpoints to the home endpoints of the prompt's prefix and a random sample.
-    fn sample(&mut self, open: &mut Vec<&Endpoint>, need: &Need) {
-        let random = (2 * open.len())
-            .div_ceil(self.nodes)
-            .max(self.options.min_sample);
-        self.draws += 1;
-        if open.len() <= random + HOME_ENDPOINTS {
-            return;
-        }
-        let homes = need.parts.iter().rev().nth(1).map_or(0, |_| HOME_ENDPOINTS);
-        if let Some(part) = need.parts.iter().rev().nth(1) {
-            let key = part.id.to_le_bytes();
-            open.sort_by_cached_key(|e| std::cmp::Reverse(score(&key, e.name.as_str())));
-        }
-        let key = format!("{}{}", self.options.node, self.draws);
-        open[homes..]
-            .sort_by_cached_key(|e| std::cmp::Reverse(score(key.as_bytes(), e.name.as_str())));
-        open.truncate(homes + random);
-    }
-
-    /// Reduces the endpoints of a plain service to a random one, weighted by speed and load.
-    ///
-    /// Silent endpoints are left out unless all are.
-    fn keep_random(&mut self, open: &mut Vec<&Endpoint>, now: Millis) {
-        let limit = self.options.silence_limit;
-        let silent = |endpoint: &Endpoint| {
-            let load = self.loads.get(&endpoint.name);
-            load.is_some_and(|load| load.silent(limit, now))
-        };
-        if !open.iter().all(|endpoint| silent(endpoint)) {
-            open.retain(|endpoint| !silent(endpoint));
-        }
-        let weight = |endpoint: &Endpoint| {
-            let load = self.loads.get(&endpoint.name);
-            let running = load.map_or(0.0, |load| load.total(now).0);
-            let mean_ms = load.and_then(|load| load.whole.get(now));
-            let slots = f64::from(endpoint.slots.max(1));
-            let mean_ms = mean_ms.unwrap_or(self.options.plain_ms).max(1.0);
-            slots / (mean_ms * (1.0 + running / slots))
-        };
-        let weights: Vec<f64> = open.iter().map(|endpoint| weight(endpoint)).collect();
-        let key = format!("{}{}", self.options.node, self.draws);
-        let mut point = unit(score(key.as_bytes(), "plain")) * weights.iter().sum::<f64>();
-        let chosen = weights.iter().position(|weight| {
-            point -= weight;
-            point < 0.0
-        });
-        if let Some(endpoint) = chosen.and_then(|index| open.get(index).copied()) {
-            *open = vec![endpoint];
-        }
-    }
-
     /// Returns whether an endpoint is in the cooldown after a failed connection.
     #[must_use]
     pub fn cooling_down(&self, name: &EndpointName, now: Millis) -> bool {
@@ -473,42 +165,6 @@
         cooldown.is_some_and(|(until, _)| now < until)
     }
 
-    /// Returns the score (lower is better), the estimate in milliseconds and the cached tokens.
-    fn score(&self, endpoint: &Endpoint, need: &Need, now: Millis) -> (f64, f64, u64) {
-        let options = &self.options;
-        let empty = Load::default();
-        let load = self.loads.get(&endpoint.name).unwrap_or(&empty);
-        let (running, prefill_tokens) = load.total(now);
-        let remote = if endpoint.place == options.place {
-            0.0
-        } else {
-            options.remote_ms
-        };
-        let (estimate_ms, work_ms, cached) = if need.engine {
-            let cached = load
-                .cache
-                .cached_prefix(&need.parts)
-                .min(need.prompt_tokens);
-            let uncached = tokens(need.prompt_tokens - cached);
-            let model = self.model(&endpoint.service);
-            let wait = slot_wait(running, endpoint.slots, model.step_ms);
-            let first = model.first_event_ms(uncached, prefill_tokens, running) + wait;
-            (first, uncached / model.prefill_rate + running, cached)
-        } else {
-            let whole = load.whole.get(now).unwrap_or(options.plain_ms);
-            let first = load.first.get(now).unwrap_or(options.plain_ms);
-            let rounds = ((running + 1.0) / f64::from(endpoint.slots.max(1))).max(1.0);
-            let wait = whole * (rounds - 1.0);
-            (first + wait, whole * running / 100.0, 0)
-        };
-        let silent = if load.silent(options.silence_limit, now) {
-            SILENT_PENALTY_MS
-        } else {
-            0.0
-        };
-        (estimate_ms + work_ms + remote + silent, estimate_ms, cached)
-    }
-
     /// Records that an attempt was sent, and returns its identifier.
     ///
     /// `memory_tokens` is the size of the engine's KV cache.
@@ -578,33 +234,6 @@
         self.next
     }
 
-    fn add_demand(&mut self, service: &Service, prefill_tokens: f64, output: f64, now: Millis) {
-        let prefill_ms = prefill_tokens / self.model(service).prefill_rate;
-        let first = MeanDemand {
-            prefill_ms: 0.0,
-            output: 0.0,
-            updated: now,
-            since: now,
-        };
-        let demand = self.demand.entry(service.clone()).or_insert(first);
-        demand.add(prefill_ms, output, now);
-    }
-
-    /// Counts a refused request as demand, with half of its prompt cached.
-    pub fn request_refused(&mut self, service: &Service, need: &Need, now: Millis) {
-        let uncached = tokens(need.prompt_tokens) / 2.0;
-        self.add_demand(service, uncached, tokens(need.output_tokens), now);
-    }
-
-    /// Returns the demand of this node's requests, by service.
-    #[must_use]
-    pub fn demand(&self, now: Millis) -> BTreeMap<Service, Demand> {
-        let demand = self.demand.iter();
-        demand
-            .map(|(name, demand)| (name.clone(), demand.mean(now)))
-            .collect()
-    }
-
     /// Records that the endpoint sent data, which ends its cooldown.
     pub fn endpoint_heard(&mut self, endpoint: &EndpointName, now: Millis) {
         if let Some(load) = self.loads.get_mut(endpoint) {
@@ -706,76 +335,6 @@
     }
 }
 
-/// Number of nodes from which endpoints of plain services are chosen at random.
-const MIN_RANDOM_NODES: usize = 8;
-
-/// Number of home endpoints of a prefix: the second takes over when the first is busy or gone.
-const HOME_ENDPOINTS: usize = 2;
-
-/// Added to the score of a silent endpoint, so that it is ranked last.
-const SILENT_PENALTY_MS: f64 = 10_000.0;
-
-impl Load {
-    fn own(&self) -> NodeLoad {
-        let prefill_tokens: f64 = self
-            .attempts
-            .values()
-            .map(|attempt| attempt.prefill_tokens)
-            .sum();
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a cast from float saturates"
-        )]
-        NodeLoad {
-            running: u32::try_from(self.attempts.len()).unwrap_or(u32::MAX),
-            prefill_tokens: prefill_tokens as u32,
-        }
-    }
-
-    /// Returns the requests in flight and the tokens still to be prefilled, of all nodes.
-    fn total(&self, now: Millis) -> (f64, f64) {
-        let fresh = |at: Millis| now.since(at) < PEER_LOAD_TTL.0;
-        let peers = self.peers.values().filter(|(_, at)| fresh(*at));
-        let own = self.own();
-        let start = (f64::from(own.running), f64::from(own.prefill_tokens));
-        peers.fold(start, |(running, prefill_tokens), (load, _)| {
-            (
-                running + f64::from(load.running),
-                prefill_tokens + f64::from(load.prefill_tokens),
-            )
-        })
-    }
-
-    fn silent(&self, limit: Millis, now: Millis) -> bool {
-        let waiting = self
-            .attempts
-            .values()
-            .filter(|attempt| attempt.last_event.is_none());
-        let due = |attempt: &ActiveAttempt| {
-            let since = attempt.sent.max(self.last_heard);
-            millis(Millis(now.since(since))) > attempt.estimate_ms + millis(limit)
-        };
-        waiting.into_iter().any(due)
-    }
-}
-
-/// Returns the wait for a slot, in milliseconds: running requests end one after the other.
-fn slot_wait(running: f64, slots: u32, step_ms: f64) -> f64 {
-    /// Decode steps of a usual request, divided by the slots that become free meanwhile.
-    const STEPS_PER_SLOT: f64 = 2.0;
-    (running - f64::from(slots) + 1.0).max(0.0) * step_ms * STEPS_PER_SLOT
-}
-
-fn decay(since: Millis, now: Millis) -> f64 {
-    (-millis(Millis(now.since(since))) / DEMAND_SPAN_MS).exp()
-}
-
-/// Converts a hash to a number from 0 to 1.
-fn unit(hash: u64) -> f64 {
-    f64::from(u32::try_from(hash >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX)
-}
-
 fn tokens(count: u64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
