Estimate by the speed and the remaining work of each endpoint

Endpoints of one service differ in speed and their digests are up to 250 ms old, so work went to the wrong ones. Each node now learns a factor beside the model of the service, states a few in each digest, and merges those of its peers; work that peers stated is reduced by what the endpoint has done since, with expected outputs; all endpoints are considered before a refusal; and plain requests are drawn by shares that fill up the endpoints evenly.

--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -24,9 +24,12 @@
 mod cache;
 mod choice;
 mod cost;
+mod digest;
 mod load;
 mod mean_time;
 mod models;
+mod plain;
+mod speed;
 mod trials;
 
 use std::collections::BTreeMap;
@@ -35,9 +38,13 @@
 
 pub use self::cache::{Part, PartList, SentPart, shared_parts};
 pub use self::choice::Choice;
-use self::cost::MeanDemand;
+use self::cost::{Lengths, MeanDemand, slot_wait};
+pub use self::digest::Placement;
 pub use self::load::NodeLoad;
 use self::load::{ActiveAttempt, Load};
+use self::plain::{Plain, rounds};
+use self::speed::Anchor;
+pub use self::speed::StatedSpeed;
 use crate::engine::EngineModel;
 use crate::fleet::{Endpoint, Fleet};
 use crate::learn::{LearnOptions, Learner, Queue};
@@ -130,6 +137,16 @@
     prior: EngineModel,
     /// Gaps between events that were seen.
     gaps_seen: u32,
+    /// Lengths of answers, by service of engines.
+    lengths: BTreeMap<Service, Lengths>,
+    /// Differences between the models and the means of samples, by service.
+    anchors: BTreeMap<Service, Anchor>,
+    /// Requests to plain services.
+    plain: BTreeMap<Service, Plain>,
+    /// Requests a millisecond of each peer to plain services.
+    peer_rates: BTreeMap<String, (BTreeMap<Service, f64>, Millis)>,
+    /// Last endpoint whose speed was stated.
+    stated_speed: Option<EndpointName>,
 }
 
 /// Maximum number of parts that wait for the next digest.
@@ -150,6 +167,11 @@
             draws: 0,
             sent_parts: Vec::new(),
             demand: BTreeMap::new(),
+            lengths: BTreeMap::new(),
+            anchors: BTreeMap::new(),
+            plain: BTreeMap::new(),
+            peer_rates: BTreeMap::new(),
+            stated_speed: None,
         }
     }
 
@@ -179,7 +201,15 @@
         self.next += 1;
         let trial_goal = self.trial_goal(need, estimate_ms);
         let capacity = tokens(memory_tokens) * self.options.cached_share;
+        let hint = tokens(need.output_tokens);
+        let output = self.expected_output(&endpoint.service, hint);
+        let pace = self.pace(endpoint);
         let load = self.loads.entry(endpoint.name.clone()).or_default();
+        if load.started_ms == 0 {
+            // Only what peers stated is known of it.
+            load.started_ms = endpoint.started_ms;
+            load.last_heard = now;
+        }
         if load.started_ms != endpoint.started_ms {
             *load = Load {
                 started_ms: endpoint.started_ms,
@@ -209,27 +239,40 @@
                 });
             }
         }
-        let output = tokens(need.output_tokens);
-        let (running, ahead) = load.total(now);
+        let backlog = load.backlog(pace, now);
         let queue = Queue {
-            tokens: ahead + prefill_tokens,
-            running,
+            tokens: backlog.prefill_tokens + prefill_tokens,
+            running: backlog.running,
         };
+        let (running, _) = load.total(now);
         load.attempts.insert(
             self.next,
             ActiveAttempt {
+                service: endpoint.service.clone(),
                 sent: now,
                 prefill_tokens,
                 output,
+                output_hint: hint,
+                heard: (0.0, 0),
                 last_event: None,
                 estimate_ms,
+                wait: if need.engine {
+                    slot_wait(backlog, endpoint.slots, pace.output_ms)
+                } else {
+                    rounds(running, endpoint.slots)
+                },
                 engine: need.engine,
                 queue: (need.engine && !need.retry).then_some(queue),
                 trial_goal,
             },
         );
         if need.engine {
-            self.add_demand(&endpoint.service, prefill_tokens, output, now);
+            let factor = self.time_factor(endpoint);
+            let work = (prefill_tokens * factor, output * factor);
+            self.add_demand(&endpoint.service, work.0, work.1, now);
+        } else {
+            let plain = self.plain(&endpoint.service, now);
+            plain.requests.add(0.0, 1.0, now);
         }
         self.next
     }
@@ -275,6 +318,9 @@
             let took = millis(Millis(now.since(attempt.sent)));
             load.whole.add(took, now);
         }
+        if answered {
+            self.learn_end(endpoint, &attempt, now);
+        }
     }
 
     /// Records that the endpoint could not be connected to, and returns its cooldown.
@@ -286,48 +332,6 @@
         Millis(cooldown)
     }
 
-    /// Returns the load of this node's requests, by endpoint.
-    #[must_use]
-    pub fn own_loads(&self) -> Vec<(EndpointName, NodeLoad)> {
-        let loaded = self.loads.iter().filter(|(_, l)| !l.attempts.is_empty());
-        loaded
-            .map(|(name, load)| (name.clone(), load.own()))
-            .collect()
-    }
-
-    /// Returns the parts sent since the last call, for the next digest.
-    pub fn take_sent_parts(&mut self) -> Vec<SentPart> {
-        std::mem::take(&mut self.sent_parts)
-    }
-
-    /// Merges a peer's loads and sent parts. Its loads replace those that it stated before.
-    pub fn merge_peer(
-        &mut self,
-        node: &str,
-        loads: &[(EndpointName, NodeLoad)],
-        sent: &[SentPart],
-        memory_tokens: u64,
-        now: Millis,
-    ) {
-        for load in self.loads.values_mut() {
-            load.peers.remove(node);
-        }
-        for (name, stated) in loads {
-            let load = self.loads.entry(name.clone()).or_default();
-            load.peers.insert(node.to_owned(), (*stated, now));
-        }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a fraction of a token count"
-        )]
-        let capacity = (tokens(memory_tokens) * self.options.cached_share) as u64;
-        for item in sent {
-            let load = self.loads.entry(item.endpoint.clone()).or_default();
-            load.cache.touch(item.part, capacity);
-        }
-    }
-
     /// Removes the load of endpoints that are not registered and have no attempts in flight.
     pub fn trim(&mut self, fleet: &Fleet) {
         self.loads
--- a/crates/cumin-entry/src/selection/choice.rs
+++ b/crates/cumin-entry/src/selection/choice.rs
@@ -2,6 +2,7 @@
 
 use cumin_types::{EndpointName, Millis, Service, score};
 
+use super::cost::Rating;
 use super::{Need, Selector, millis, to_millis};
 use crate::fleet::{Endpoint, Fleet};
 
@@ -59,11 +60,11 @@
             .filter(|endpoint| all_cooling || !self.cooling_down(&endpoint.name, now));
         let (leaving, staying): (Vec<_>, Vec<_>) =
             open.partition(|endpoint| fleet.is_leaving(endpoint));
-        let choice = self.choose_among(staying, need, now);
+        let choice = self.choose_among(&staying, need, now);
         if matches!(choice, Choice::Use { .. }) || leaving.is_empty() {
             return choice;
         }
-        let last = self.choose_among(leaving, need, now);
+        let last = self.choose_among(&leaving, need, now);
         let is_full = matches!(choice, Choice::Full { .. });
         if is_full && !matches!(last, Choice::Use { .. }) {
             return choice;
@@ -71,34 +72,48 @@
         last
     }
 
-    fn choose_among(&mut self, mut open: Vec<&Endpoint>, need: &Need, now: Millis) -> Choice {
-        self.sample(&mut open, need);
+    fn choose_among(&mut self, open: &[&Endpoint], need: &Need, now: Millis) -> Choice {
+        let mut sampled = open.to_vec();
+        self.sample(&mut sampled, need);
         if !need.engine && self.nodes >= MIN_RANDOM_NODES {
-            self.keep_random(&mut open, now);
+            self.keep_random(&mut sampled, now);
         }
-        let scored = open.iter().map(|endpoint| {
-            let (score, estimate_ms, cached) = self.score(endpoint, need, now);
-            (score, estimate_ms, cached, *endpoint)
-        });
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, estimate_ms, cached, endpoint)) = best else {
+        let mut best = self.best(&sampled, need, now);
+        let is_late = best.is_some_and(|(_, rating)| rating.late);
+        if is_late && sampled.len() < open.len() {
+            best = self.best(open, need, now);
+        }
+        let Some((endpoint, rating)) = best else {
             return Choice::NoEndpoint;
         };
-        let limit = millis(need.goal_left) * self.options.goal_share;
-        if estimate_ms > limit && !self.take_trial(endpoint, need, now) {
-            let over = estimate_ms - limit;
+        let estimate_ms = rating.estimate_ms;
+        if rating.late && !self.take_trial(endpoint, need, now) {
+            let limit = millis(need.goal_left) * self.options.goal_share;
             return Choice::Full {
                 estimate_ms,
-                retry_after: to_millis(over),
+                retry_after: to_millis(estimate_ms - limit),
             };
         }
         Choice::Use {
             endpoint: endpoint.name.clone(),
             estimate_ms,
-            cached,
+            cached: rating.cached,
         }
     }
 
+    /// Returns the endpoint that suits best.
+    fn best<'a>(
+        &self,
+        open: &[&'a Endpoint],
+        need: &Need,
+        now: Millis,
+    ) -> Option<(&'a Endpoint, Rating)> {
+        let rated = open
+            .iter()
+            .map(|endpoint| (*endpoint, self.rate(endpoint, need, now)));
+        rated.min_by(|(_, a), (_, b)| a.compare(b))
+    }
+
     /// Reduces the endpoints to the home endpoints of the prompt's prefix and a random sample.
     fn sample(&mut self, open: &mut Vec<&Endpoint>, need: &Need) {
         let random = (2 * open.len())
@@ -118,41 +133,4 @@
             .sort_by_cached_key(|e| std::cmp::Reverse(score(key.as_bytes(), e.name.as_str())));
         open.truncate(homes + random);
     }
-
-    /// Reduces the endpoints of a plain service to a random one, weighted by speed and load.
-    ///
-    /// Silent endpoints are left out unless all are.
-    fn keep_random(&mut self, open: &mut Vec<&Endpoint>, now: Millis) {
-        let limit = self.options.silence_limit;
-        let silent = |endpoint: &Endpoint| {
-            let load = self.loads.get(&endpoint.name);
-            load.is_some_and(|load| load.silent(limit, now))
-        };
-        if !open.iter().all(|endpoint| silent(endpoint)) {
-            open.retain(|endpoint| !silent(endpoint));
-        }
-        let weight = |endpoint: &Endpoint| {
-            let load = self.loads.get(&endpoint.name);
-            let running = load.map_or(0.0, |load| load.total(now).0);
-            let mean_ms = load.and_then(|load| load.whole.get(now));
-            let slots = f64::from(endpoint.slots.max(1));
-            let mean_ms = mean_ms.unwrap_or(self.options.plain_ms).max(1.0);
-            slots / (mean_ms * (1.0 + running / slots))
-        };
-        let weights: Vec<f64> = open.iter().map(|endpoint| weight(endpoint)).collect();
-        let key = format!("{}{}", self.options.node, self.draws);
-        let mut point = unit(score(key.as_bytes(), "plain")) * weights.iter().sum::<f64>();
-        let chosen = weights.iter().position(|weight| {
-            point -= weight;
-            point < 0.0
-        });
-        if let Some(endpoint) = chosen.and_then(|index| open.get(index).copied()) {
-            *open = vec![endpoint];
-        }
-    }
-}
-
-/// Converts a hash to a number from 0 to 1.
-fn unit(hash: u64) -> f64 {
-    f64::from(u32::try_from(hash >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX)
 }
--- a/crates/cumin-entry/src/selection/cost.rs
+++ b/crates/cumin-entry/src/selection/cost.rs
@@ -1,18 +1,17 @@
 //! Cost of a request at an endpoint, and the demand of all requests for engine time.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use cumin_types::{Millis, Service};
 
-use super::load::Load;
+use super::load::{Backlog, Load, Pace};
+use super::plain::rounds;
 use super::{Need, Selector, millis, tokens};
 use crate::engine::Demand;
 use crate::fleet::Endpoint;
 
-/// Added to the score of a silent endpoint, so that it is ranked last.
-const SILENT_PENALTY_MS: f64 = 10_000.0;
-
-/// Demand for engines, as an exponentially decayed mean.
+/// Demand for endpoints, as an exponentially decayed mean.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct MeanDemand {
     /// Decayed sum of the time to prefill.
@@ -26,6 +25,15 @@
 }
 
 impl MeanDemand {
+    pub(super) fn new(now: Millis) -> Self {
+        Self {
+            prefill_ms: 0.0,
+            output: 0.0,
+            updated: now,
+            since: now,
+        }
+    }
+
     pub(super) fn add(&mut self, prefill_ms: f64, output: f64, now: Millis) {
         let kept = decay(self.updated, now);
         self.prefill_ms = self.prefill_ms * kept + prefill_ms;
@@ -54,40 +62,81 @@
 pub(super) const DEMAND_SPAN_MS: f64 = 5000.0;
 
 impl Selector {
-    /// Returns the score (lower is better), the estimate in milliseconds and the cached tokens.
-    pub(super) fn score(&self, endpoint: &Endpoint, need: &Need, now: Millis) -> (f64, f64, u64) {
+    /// Returns the factor on times of a service's model that applies to an endpoint.
+    #[must_use]
+    pub fn time_factor(&self, endpoint: &Endpoint) -> f64 {
+        let load = self.loads.get(&endpoint.name);
+        load.map_or(1.0, |load| load.speed.factor(endpoint.started_ms))
+    }
+
+    /// Returns the times of an engine's work at its own speed.
+    pub(super) fn pace(&self, endpoint: &Endpoint) -> Pace {
+        let (factor, model) = (self.time_factor(endpoint), self.model(&endpoint.service));
+        let batch = f64::from(endpoint.slots) / 2.0;
+        Pace {
+            prefill_ms: factor / model.prefill_rate,
+            output_ms: factor * (model.step_ms + model.request_ms * batch),
+        }
+    }
+
+    /// Returns the output tokens that a request of a service is expected to have, by the lengths of
+    /// the answers before it.
+    pub(super) fn expected_output(&self, service: &Service, hint: f64) -> f64 {
+        let lengths = self.lengths.get(service);
+        lengths.map_or(hint, |lengths| hint * lengths.ratio())
+    }
+
+    /// Rates an endpoint for a request.
+    pub(super) fn rate(&self, endpoint: &Endpoint, need: &Need, now: Millis) -> Rating {
         let options = &self.options;
         let empty = Load::default();
         let load = self.loads.get(&endpoint.name).unwrap_or(&empty);
-        let (running, prefill_tokens) = load.total(now);
-        let remote = if endpoint.place == options.place {
+        let remote_ms = if endpoint.place == options.place {
             0.0
         } else {
             options.remote_ms
         };
         let (estimate_ms, work_ms, cached) = if need.engine {
-            let cached = load
-                .cache
-                .cached_prefix(&need.parts)
-                .min(need.prompt_tokens);
-            let uncached = tokens(need.prompt_tokens - cached);
-            let model = self.model(&endpoint.service);
-            let wait = slot_wait(running, endpoint.slots, model.step_ms);
-            let first = model.first_event_ms(uncached, prefill_tokens, running) + wait;
-            (first, uncached / model.prefill_rate + running, cached)
+            self.rate_engine(endpoint, load, need, now)
         } else {
-            let whole = load.whole.get(now).unwrap_or(options.plain_ms);
-            let first = load.first.get(now).unwrap_or(options.plain_ms);
-            let rounds = ((running + 1.0) / f64::from(endpoint.slots.max(1))).max(1.0);
-            let wait = whole * (rounds - 1.0);
+            let (running, _) = load.total(now);
+            let slot_ms = self.slot_ms(endpoint, now);
+            let whole = load.whole.get(now).unwrap_or(slot_ms);
+            let first = load.first.get(now).unwrap_or(slot_ms);
+            let wait = whole * (rounds(running, endpoint.slots) - 1.0);
             (first + wait, whole * running / 100.0, 0)
         };
-        let silent = if load.silent(options.silence_limit, now) {
-            SILENT_PENALTY_MS
-        } else {
-            0.0
-        };
-        (estimate_ms + work_ms + remote + silent, estimate_ms, cached)
+        Rating {
+            silent: load.silent(options.silence_limit, now),
+            late: estimate_ms > millis(need.goal_left) * options.goal_share,
+            score: estimate_ms + work_ms + remote_ms,
+            estimate_ms,
+            cached,
+        }
+    }
+
+    /// Returns the estimated time to the first event, the time by which the request delays others,
+    /// and the cached tokens.
+    fn rate_engine(
+        &self,
+        endpoint: &Endpoint,
+        load: &Load,
+        need: &Need,
+        now: Millis,
+    ) -> (f64, f64, u64) {
+        let cached = load
+            .cache
+            .cached_prefix(&need.parts)
+            .min(need.prompt_tokens);
+        let uncached = tokens(need.prompt_tokens - cached);
+        let pace = self.pace(endpoint);
+        let backlog = load.backlog(pace, now);
+        let factor = load.speed.factor(endpoint.started_ms);
+        let model = self.model(&endpoint.service);
+        let first = model.first_event_ms(uncached, backlog.prefill_tokens, backlog.running);
+        let wait = slot_wait(backlog, endpoint.slots, pace.output_ms);
+        let work = uncached * pace.prefill_ms + backlog.running * factor;
+        (first * factor + wait, work, cached)
     }
 
     pub(super) fn add_demand(
@@ -98,13 +147,10 @@
         now: Millis,
     ) {
         let prefill_ms = prefill_tokens / self.model(service).prefill_rate;
-        let first = MeanDemand {
-            prefill_ms: 0.0,
-            output: 0.0,
-            updated: now,
-            since: now,
-        };
-        let demand = self.demand.entry(service.clone()).or_insert(first);
+        let demand = self
+            .demand
+            .entry(service.clone())
+            .or_insert_with(|| MeanDemand::new(now));
         demand.add(prefill_ms, output, now);
     }
 
@@ -124,11 +170,67 @@
     }
 }
 
-/// Returns the wait for a slot, in milliseconds: running requests end one after the other.
-fn slot_wait(running: f64, slots: u32, step_ms: f64) -> f64 {
-    /// Decode steps of a usual request, divided by the slots that become free meanwhile.
-    const STEPS_PER_SLOT: f64 = 2.0;
-    (running - f64::from(slots) + 1.0).max(0.0) * step_ms * STEPS_PER_SLOT
+/// How well an endpoint suits a request; the least one suits best.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rating {
+    /// Whether it has not answered for longer than expected.
+    silent: bool,
+    /// Whether the estimate exceeds the goal.
+    pub(super) late: bool,
+    /// Estimate, with the delay of others.
+    score: f64,
+    pub(super) estimate_ms: f64,
+    pub(super) cached: u64,
+}
+
+impl Rating {
+    /// Orders by suitability. Silent endpoints come last, and late ones before them.
+    pub(super) fn compare(&self, other: &Self) -> Ordering {
+        let flags = |rating: &Self| (rating.silent, rating.late);
+        let by_score = self.score.total_cmp(&other.score);
+        flags(self).cmp(&flags(other)).then(by_score)
+    }
+}
+
+/// Lengths of answers compared with those that callers expect.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lengths {
+    /// Decayed sums of actual and of expected output tokens.
+    actual: f64,
+    hinted: f64,
+}
+
+impl Lengths {
+    /// Answers that the sums cover.
+    const SPAN: f64 = 200.0;
+
+    /// Answers of the expected length that are assumed before the first one.
+    const PRIOR: f64 = 10.0;
+
+    pub(super) fn new(hint: f64) -> Self {
+        Self {
+            actual: hint * Self::PRIOR,
+            hinted: hint * Self::PRIOR,
+        }
+    }
+
+    pub(super) fn add(&mut self, actual: f64, hint: f64) {
+        let kept = 1.0 - 1.0 / Self::SPAN;
+        self.actual = self.actual * kept + actual;
+        self.hinted = self.hinted * kept + hint;
+    }
+
+    fn ratio(&self) -> f64 {
+        (self.actual / self.hinted.max(1.0)).clamp(0.25, 4.0)
+    }
+}
+
+/// Returns the wait for a slot, in milliseconds: remaining lengths are taken as equally likely
+/// between nothing and twice their mean.
+pub(super) fn slot_wait(backlog: Backlog, slots: u32, output_ms: f64) -> f64 {
+    let excess = (backlog.running - f64::from(slots) + 1.0).max(0.0);
+    let length = 2.0 * backlog.output / backlog.running.max(1.0);
+    excess / backlog.running.max(1.0) * length * output_ms
 }
 
 fn decay(since: Millis, now: Millis) -> f64 {
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod memory;
 mod outage;
+mod placement;
 mod quota;
 mod recovery;
 mod refusals;
--- /dev/null
+++ b/crates/cumin-entry/tests/all/placement.rs
@@ -0,0 +1,332 @@
+//! Replay of placement: endpoints of different speeds, old and lost digests.
+//!
+//! The test guards against work that is placed at the wrong endpoints although there is capacity:
+//! 8 to 14 of 100 requests were late at a site of this kind.
+
+use cumin_entry::fleet::{Endpoint, Fleet};
+use cumin_entry::selection::{Choice, Need, Selector, SelectorOptions};
+use cumin_types::{EndpointName, Millis};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{endpoint, engines};
+
+const NODES: usize = 66;
+
+/// Time for which the nodes learn before requests are counted.
+const WARM_UP_MS: u64 = 4000;
+const END_MS: u64 = 12_000;
+
+/// Mean length of a spell in which an endpoint is slow, and the factor on its times.
+const SPELL_MS: u32 = 600;
+const SPELL_FACTOR: f64 = 2.5;
+
+/// Share of the endpoints that are slow at any moment.
+const SPELL_SHARE: f64 = 0.15;
+
+/// Tokens in an event.
+const EVENT_TOKENS: f64 = 4.0;
+
+/// How endpoints are chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Policy {
+    /// Each node by its own selector.
+    Selector,
+    /// By the remaining work of all endpoints and their speeds.
+    Oracle,
+}
+
+/// A request at an endpoint.
+#[derive(Clone, Debug)]
+struct Job {
+    node: usize,
+    attempt: u64,
+    sent: u64,
+    /// Milliseconds of work until the first event, at the usual speed.
+    prefill: f64,
+    /// Milliseconds of work of a plain request; output tokens that remain of a stream.
+    rest: f64,
+    /// Output tokens since the last event; `None` before the first one.
+    unsent: Option<f64>,
+}
+
+/// An endpoint: prompts are prefilled one after the other, plain requests run in slots.
+struct Server {
+    name: EndpointName,
+    speed: f64,
+    spell: bool,
+    jobs: Vec<Job>,
+}
+
+/// What happens to a job within a millisecond.
+enum Event {
+    Begun,
+    Output,
+    Ended,
+}
+
+impl Server {
+    /// Returns the milliseconds until a request with the work is answered or begins.
+    fn estimate_ms(&self, engine: bool, work: f64, slots: f64) -> f64 {
+        let queued: f64 = self
+            .jobs
+            .iter()
+            .map(|job| if engine { job.prefill } else { job.rest })
+            .sum();
+        let queued = if engine {
+            queued
+        } else {
+            (queued / slots - work).max(0.0)
+        };
+        let slow = if self.spell { SPELL_FACTOR } else { 1.0 };
+        (queued + work) * slow / self.speed
+    }
+
+    /// Works for a millisecond.
+    fn work(&mut self, engine: bool, slots: usize, mut heard: impl FnMut(&Job, Event)) {
+        let mut budget = self.speed / if self.spell { SPELL_FACTOR } else { 1.0 };
+        if !engine {
+            for job in self.jobs.iter_mut().take(slots) {
+                job.rest -= budget;
+            }
+        } else {
+            let decoding = self.jobs.iter().filter(|job| job.unsent.is_some()).count();
+            let token_ms = 4.0 + 0.1 * f64::from(u32::try_from(decoding).expect("few"));
+            for job in self.jobs.iter_mut().take(slots) {
+                if let Some(unsent) = &mut job.unsent {
+                    let tokens = budget.min(1.0) / token_ms;
+                    *unsent += tokens;
+                    job.rest -= tokens;
+                    if *unsent >= EVENT_TOKENS && job.rest > 0.0 {
+                        *unsent -= EVENT_TOKENS;
+                        heard(job, Event::Output);
+                    }
+                }
+            }
+            for job in self.jobs.iter_mut().take(slots) {
+                if job.unsent.is_none() {
+                    let done = budget.min(job.prefill);
+                    budget -= done;
+                    job.prefill -= done;
+                    if job.prefill <= 0.0 {
+                        job.unsent = Some(0.0);
+                        heard(job, Event::Begun);
+                    }
+                }
+            }
+        }
+        self.jobs.retain(|job| {
+            let ended = job.rest <= 0.0;
+            if ended {
+                heard(job, Event::Ended);
+            }
+            !ended
+        });
+    }
+}
+
+/// Traffic and endpoints of a replay.
+#[derive(Clone, Debug)]
+struct Site {
+    engine: bool,
+    speeds: Vec<f64>,
+    slots: u32,
+    per_second: f64,
+    goal: Millis,
+}
+
+fn site_of_engines() -> Site {
+    Site {
+        engine: true,
+        speeds: (0..60).map(|n| [0.6, 1.0, 1.6][n % 3]).collect(),
+        slots: 64,
+        per_second: 250.0,
+        goal: Millis(600),
+    }
+}
+
+fn site_of_services() -> Site {
+    Site {
+        engine: false,
+        speeds: vec![1.0; 5],
+        slots: 6,
+        per_second: 280.0,
+        goal: Millis(300),
+    }
+}
+
+/// Returns a normally distributed number.
+fn normal(rng: &mut ChaCha8Rng) -> f64 {
+    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "small positive numbers"
+)]
+fn whole(value: f64) -> u64 {
+    value.round() as u64
+}
+
+/// Share of late and refused requests, in percent.
+fn replay(site: &Site, policy: Policy, seed: u64) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut fleet = Fleet::default();
+    let name = |n: usize| EndpointName::from(format!("e{n}").as_str());
+    for n in 0..site.speeds.len() {
+        fleet.register(Endpoint {
+            slots: site.slots,
+            ..endpoint(name(n).as_str())
+        });
+    }
+    let mut servers: Vec<Server> = (0..site.speeds.len())
+        .map(|n| Server {
+            name: name(n),
+            speed: site.speeds[n],
+            spell: rng.random_bool(SPELL_SHARE),
+            jobs: Vec::new(),
+        })
+        .collect();
+    let mut nodes: Vec<Selector> = (0..NODES).map(selector).collect();
+    let (mut asked, mut late) = (0_u32, 0_u32);
+    for now in 0..END_MS {
+        let counts = now >= WARM_UP_MS;
+        for server in &mut servers {
+            let share = if server.spell {
+                1.0
+            } else {
+                SPELL_SHARE / (1.0 - SPELL_SHARE)
+            };
+            server.spell ^= rng.random_bool(share / f64::from(SPELL_MS));
+            let name = server.name.clone();
+            let slots = site.slots as usize;
+            server.work(site.engine, slots, |job, event| {
+                let (node, at) = (&mut nodes[job.node], Millis(now));
+                let is_late = now - job.sent > site.goal.0;
+                match event {
+                    Event::Begun => {
+                        late += u32::from(is_late && job.sent >= WARM_UP_MS);
+                        node.stream_begun(&engines(), &name, job.attempt, at);
+                    }
+                    Event::Output => {
+                        node.events_heard(&engines(), &name, job.attempt, 4, at);
+                    }
+                    Event::Ended => {
+                        let is_counted = !site.engine && job.sent >= WARM_UP_MS;
+                        late += u32::from(is_late && is_counted);
+                        if !site.engine {
+                            node.answer_begun(&name, job.attempt, at);
+                        }
+                        node.attempt_ended(&name, job.attempt, true, at);
+                    }
+                }
+            });
+        }
+        gossip(&mut nodes, &fleet, now, &mut rng);
+        while rng.random_bool(site.per_second / (1000.0 + site.per_second)) {
+            let node = rng.random_range(0..NODES);
+            let prompt = (3000.0 * normal(&mut rng).exp()).clamp(500.0, 40_000.0);
+            let length = (40.0 * normal(&mut rng).exp()).clamp(5.0, 180.0) * EVENT_TOKENS;
+            let hint = length * normal(&mut rng).exp();
+            let (prefill, rest) = if site.engine {
+                (prompt / 40.0 + 20.0, length)
+            } else {
+                (0.0, rng.random_range(30.0..90.0))
+            };
+            let need = Need {
+                prompt_tokens: if site.engine { whole(prompt) } else { 0 },
+                output_tokens: if site.engine { whole(hint) } else { 0 },
+                goal_left: site.goal,
+                time_left: Millis(10_000),
+                engine: site.engine,
+                ..Need::default()
+            };
+            asked += u32::from(counts);
+            let work = prefill + if site.engine { 0.0 } else { rest };
+            let best = servers.iter().min_by(|a, b| {
+                let time = |s: &Server| s.estimate_ms(site.engine, work, f64::from(site.slots));
+                time(a).total_cmp(&time(b))
+            });
+            let best = best.expect("there are endpoints").name.clone();
+            let (chosen, estimate_ms) = match policy {
+                Policy::Oracle => (best, 0.0),
+                Policy::Selector => {
+                    let choice = nodes[node].choose(&fleet, &engines(), &need, &[], Millis(now));
+                    let Choice::Use {
+                        endpoint,
+                        estimate_ms,
+                        ..
+                    } = choice
+                    else {
+                        late += u32::from(counts);
+                        continue;
+                    };
+                    (endpoint, estimate_ms)
+                }
+            };
+            let found = fleet.get(&chosen).expect("it is registered").clone();
+            let attempt = nodes[node].attempt_sent(&found, &need, 0, estimate_ms, Millis(now));
+            let server = servers.iter_mut().find(|s| s.name == chosen);
+            server.expect("it is registered").jobs.push(Job {
+                node,
+                attempt,
+                sent: now,
+                prefill,
+                rest,
+                unsent: None,
+            });
+        }
+    }
+    100.0 * f64::from(late) / f64::from(asked)
+}
+
+fn selector(n: usize) -> Selector {
+    let mut selector = Selector::new(SelectorOptions {
+        node: format!("n{n}"),
+        ..SelectorOptions::default()
+    });
+    selector.set_nodes(NODES);
+    selector
+}
+
+/// Each node sends a digest every 250 ms, at a time of its own; one in ten is lost.
+fn gossip(nodes: &mut [Selector], fleet: &Fleet, now: u64, rng: &mut ChaCha8Rng) {
+    let at = Millis(now);
+    for from in (0..NODES).filter(|n| (now + *n as u64 * 3).is_multiple_of(250)) {
+        nodes[from].combine_fits(at);
+        nodes[from].combine_speeds(fleet, at);
+        let (loads, fits) = (nodes[from].own_loads(), nodes[from].own_fits(at));
+        let placement = nodes[from].own_placement(at);
+        let name = format!("n{from}");
+        for to in (0..NODES).filter(|to| *to != from) {
+            if rng.random_bool(0.9) {
+                nodes[to].merge_peer(&name, &loads, &[], 0, at);
+                nodes[to].merge_fits(&name, &fits, at);
+                nodes[to].merge_placement(&name, &loads, &placement, at);
+            }
+        }
+    }
+}
+
+#[test]
+#[ignore = "a measurement, run by hand"]
+fn shares() {
+    for (kind, site) in [
+        ("engines", site_of_engines()),
+        ("plain", site_of_services()),
+    ] {
+        for load in [0.6, 1.0, 1.2, 1.4] {
+            let site = Site {
+                per_second: site.per_second * load,
+                ..site.clone()
+            };
+            let mean = |policy| (1..=2).map(|seed| replay(&site, policy, seed)).sum::<f64>() / 2.0;
+            let (late, oracle) = (mean(Policy::Selector), mean(Policy::Oracle));
+            println!(
+                "{kind} {:.0}/s: late {late:.2}%, oracle {oracle:.2}%",
+                site.per_second
+            );
+        }
+    }
+}
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -14,6 +14,7 @@
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
+use cumin_entry::selection::Placement;
 use cumin_entry::suspects::StatedPart;
 use cumin_types::Millis;
 use serde::de::DeserializeOwned;
@@ -81,6 +82,7 @@
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
             leaving: node.fleet.borrow().stated_leaving(node.now()),
+            placement: node.selector.borrow_mut().own_placement(node.now()),
         };
         let payload = match message.encode() {
             Ok(payload) => payload,
@@ -110,6 +112,7 @@
     limits: Vec<StatedLimit>,
     reads: Option<StatedSpan>,
     leaving: Vec<StatedLeaving>,
+    placement: Placement,
 }
 
 impl Message {
@@ -119,7 +122,8 @@
         let payload = postcard::to_extend(&self.parts, payload)?;
         let payload = postcard::to_extend(&self.limits, payload)?;
         let payload = postcard::to_extend(&self.reads, payload)?;
-        postcard::to_extend(&self.leaving, payload)
+        let payload = postcard::to_extend(&self.leaving, payload)?;
+        postcard::to_extend(&self.placement, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -129,7 +133,8 @@
         let (parts, rest) = take_or_default(rest)?;
         let (limits, rest) = take_or_default(rest)?;
         let (reads, rest) = take_or_default(rest)?;
-        let (leaving, _) = take_or_default(rest)?;
+        let (leaving, rest) = take_or_default(rest)?;
+        let (placement, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -137,6 +142,7 @@
             limits,
             reads,
             leaving,
+            placement,
         })
     }
 }
@@ -237,6 +243,7 @@
     let mut selector = node.selector.borrow_mut();
     selector.set_nodes(live);
     selector.combine_fits(now);
+    selector.combine_speeds(&node.fleet.borrow(), now);
     drop(selector);
     let own_ms = saturating_i64(node.steady_wall().0);
     let mut drifts_ms: Vec<i64> = peers
@@ -286,6 +293,7 @@
         limits,
         reads,
         leaving: stated_leaving,
+        placement,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -334,6 +342,7 @@
     let name = digest.node.as_str();
     selector.merge_peer(name, &digest.loads, &digest.sent, max_memory, now);
     selector.merge_fits(name, &extension.fits, now);
+    selector.merge_placement(name, &digest.loads, placement, now);
 }
 
 /// Announces this node in the store, then lists the other nodes periodically; does not return.
