--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -14,7 +14,7 @@
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
-use cumin_entry::selection::SentPart;
+use cumin_entry::selection::{Placement, SentPart, StatedSpeed};
 use cumin_entry::suspects::StatedPart;
 use cumin_types::{Millis, score};
 use serde::de::DeserializeOwned;
@@ -77,7 +77,7 @@
         let groups: Vec<&[IpAddr]> = contacts.chunks(GROUP_SIZE).collect();
         let interval = digest_interval(&node);
         let step = Millis((interval.0 / (groups.len() as u64).max(1)).max(1));
-        rounds.begin(groups.len());
+        rounds.begin(&node, groups.len());
         for (index, group) in groups.iter().enumerate() {
             if let Some(payload) = rounds.payload(&node, index) {
                 send_to(&node, &socket, &payload, group).await;
@@ -115,6 +115,8 @@
     offset: u64,
     /// Prompt parts that were sent to endpoints and not yet stated, by group.
     unsent: Vec<Vec<SentPart>>,
+    /// Speeds of endpoints that all digests of the round state.
+    speeds: Vec<StatedSpeed>,
 }
 
 impl Rounds {
@@ -125,11 +127,13 @@
             sequence: 0,
             offset: score(name.as_bytes(), "suspects") % FULL_SUSPECTS_PERIOD,
             unsent: Vec::new(),
+            speeds: Vec::new(),
         }
     }
 
-    fn begin(&mut self, groups: usize) {
+    fn begin(&mut self, node: &Node, groups: usize) {
         self.round += 1;
+        self.speeds = node.selector.borrow_mut().next_speeds(node.now());
         self.unsent.resize(groups, Vec::new());
     }
 
@@ -162,6 +166,7 @@
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
             leaving: node.fleet.borrow().stated_leaving(node.now()),
+            placement: node.selector.borrow().own_placement(self.speeds.clone(), node.now()),
         };
         match message.encode() {
             Ok(payload) => Some(payload),
@@ -205,6 +210,7 @@
     limits: Vec<StatedLimit>,
     reads: Option<StatedSpan>,
     leaving: Vec<StatedLeaving>,
+    placement: Placement,
 }
 
 impl Message {
@@ -214,7 +220,8 @@
         let payload = postcard::to_extend(&self.parts, payload)?;
         let payload = postcard::to_extend(&self.limits, payload)?;
         let payload = postcard::to_extend(&self.reads, payload)?;
-        postcard::to_extend(&self.leaving, payload)
+        let payload = postcard::to_extend(&self.leaving, payload)?;
+        postcard::to_extend(&self.placement, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -224,7 +231,8 @@
         let (parts, rest) = take_or_default(rest)?;
         let (limits, rest) = take_or_default(rest)?;
         let (reads, rest) = take_or_default(rest)?;
-        let (leaving, _) = take_or_default(rest)?;
+        let (leaving, rest) = take_or_default(rest)?;
+        let (placement, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -232,6 +240,7 @@
             limits,
             reads,
             leaving,
+            placement,
         })
     }
 }
@@ -332,6 +341,7 @@
     let mut selector = node.selector.borrow_mut();
     selector.set_nodes(live);
     selector.combine_fits(now);
+    selector.combine_speeds(&node.fleet.borrow(), now);
     drop(selector);
     let own_ms = saturating_i64(node.steady_wall().0);
     let mut drifts_ms: Vec<i64> = peers
@@ -381,6 +391,7 @@
         limits,
         reads,
         leaving: stated_leaving,
+        placement,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -429,6 +440,7 @@
     let name = digest.node.as_str();
     selector.merge_peer(name, &digest.loads, &digest.sent, max_memory, now);
     selector.merge_fits(name, &extension.fits, now);
+    selector.merge_placement(name, &digest.loads, placement, now);
 }
 
 /// Announces this node in the store, then lists the other nodes periodically; does not return.
