Merge placement by cost, remaining work and speed

Speeds that a round of digests states are chosen once per round, so that every group of nodes gets each of them in turn.

--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -15,7 +15,7 @@
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
-use cumin_entry::selection::SentPart;
+use cumin_entry::selection::{Placement, SentPart, StatedSpeed};
 use cumin_entry::suspects::StatedPart;
 use cumin_entry::usage;
 use cumin_types::{Millis, score};
@@ -84,7 +84,7 @@
         let groups: Vec<&[IpAddr]> = contacts.chunks(GROUP_SIZE).collect();
         let interval = digest_interval(&node);
         let step = Millis((interval.0 / (groups.len() as u64).max(1)).max(1));
-        rounds.begin(groups.len());
+        rounds.begin(&node, groups.len());
         for (index, group) in groups.iter().enumerate() {
             if let Some(payload) = rounds.payload(&node, index) {
                 send_to(&node, &socket, &payload, group).await;
@@ -122,6 +122,8 @@
     offset: u64,
     /// Prompt parts that were sent to endpoints and not yet stated, by group.
     unsent: Vec<Vec<SentPart>>,
+    /// Speeds of endpoints that all digests of the round state.
+    speeds: Vec<StatedSpeed>,
 }
 
 impl Rounds {
@@ -132,11 +134,13 @@
             sequence: 0,
             offset: score(name.as_bytes(), "suspects") % FULL_SUSPECTS_PERIOD,
             unsent: Vec::new(),
+            speeds: Vec::new(),
         }
     }
 
-    fn begin(&mut self, groups: usize) {
+    fn begin(&mut self, node: &Node, groups: usize) {
         self.round += 1;
+        self.speeds = node.selector.borrow_mut().next_speeds(node.now());
         self.unsent.resize(groups, Vec::new());
     }
 
@@ -171,6 +175,10 @@
             leaving: node.fleet.borrow().stated_leaving(node.now()),
             era: era::stated(node),
             span: Some(span),
+            placement: node
+                .selector
+                .borrow()
+                .own_placement(self.speeds.clone(), node.now()),
         };
         match message.encode() {
             Ok(payload) => Some(payload),
@@ -217,6 +225,7 @@
     era: Option<StatedEra>,
     /// Usage windows that the digest states.
     span: Option<usage::StatedSpan>,
+    placement: Placement,
 }
 
 impl Message {
@@ -228,7 +237,8 @@
         let payload = postcard::to_extend(&self.reads, payload)?;
         let payload = postcard::to_extend(&self.leaving, payload)?;
         let payload = postcard::to_extend(&self.era, payload)?;
-        postcard::to_extend(&self.span, payload)
+        let payload = postcard::to_extend(&self.span, payload)?;
+        postcard::to_extend(&self.placement, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -240,7 +250,8 @@
         let (reads, rest) = take_or_default(rest)?;
         let (leaving, rest) = take_or_default(rest)?;
         let (era, rest) = take_or_default(rest)?;
-        let (span, _) = take_or_default(rest)?;
+        let (span, rest) = take_or_default(rest)?;
+        let (placement, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -250,6 +261,7 @@
             leaving,
             era,
             span,
+            placement,
         })
     }
 }
@@ -353,6 +365,7 @@
     let mut selector = node.selector.borrow_mut();
     selector.set_nodes(live);
     selector.combine_fits(now);
+    selector.combine_speeds(&node.fleet.borrow(), now);
     drop(selector);
     node.drift_ms
         .set(peers.clock_drift(node.steady_wall(), now));
@@ -400,6 +413,7 @@
         leaving: stated_leaving,
         era: stated_era,
         span,
+        placement,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -455,6 +469,7 @@
     let name = digest.node.as_str();
     selector.merge_peer(name, &digest.loads, &digest.sent, max_memory, now);
     selector.merge_fits(name, &extension.fits, now);
+    selector.merge_placement(name, &digest.loads, placement, now);
 }
 
 /// Announces this node in the store, then lists the other nodes periodically; does not return.
