Make the fair queue usable outside of admission

Waiting requests of an entry need the order of cumin-admit's queue with up to ten ranks and with work counted in microseconds of endpoint time.

FairQueue is generic over the request, the number of ranks and the unit of work; ServiceQueue keeps the capacity and the running requests and uses it with three priorities. A request may keep an earlier turn, and ranks can be named as starved, which admission does not use.

--- a/crates/cumin-admit/src/admission.rs
+++ b/crates/cumin-admit/src/admission.rs
@@ -4,12 +4,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use cumin_types::{
-    Millis, NodeName, Organisation, Priority, RequestId, Service, TokenCount, WallMillis,
-};
+use cumin_types::{Millis, NodeName, Organisation, RequestId, Service, TokenCount, WallMillis};
 
+use crate::fair::{Position, Queued, StarvationGuard};
 use crate::organisation::OrganisationState;
-use crate::queue::{FIRST_KEY, QueueKey, QueuedRequest, ServiceQueue, StarvationGuard};
+use crate::queue::ServiceQueue;
 use crate::{
     AdmissionRequest, Capacity, Decision, DemandReport, DropReason, Dropped, Grant, QueuePosition,
     Quota, Refusal, RefusalReason, ShareOptions, Shares, Ticket,
@@ -74,7 +73,7 @@
     shares: Shares,
     orgs: BTreeMap<Organisation, OrganisationState>,
     queues: BTreeMap<Service, ServiceQueue>,
-    queued: HashMap<RequestId, (Service, Priority, QueueKey, Millis)>,
+    queued: HashMap<RequestId, (Service, Position, Millis)>,
     running: HashSet<RequestId>,
     /// Requests that wait for a quota, and their organisations.
     waiting: HashMap<RequestId, Organisation>,
@@ -133,8 +132,8 @@
     /// Sets the capacity of a service that this node may use, and sheds queued requests that can
     /// no longer complete in time.
     pub fn set_capacity(&mut self, service: &Service, capacity: Capacity, now: Millis) {
-        self.service_queue(service).capacity = capacity;
-        self.shed_late(service, FIRST_KEY, 0, now);
+        self.service_queue(service).set_capacity(capacity);
+        self.shed_late(service, Position::FIRST, 0, now);
     }
 
     /// Decides whether a request runs, waits or is refused.
@@ -204,15 +203,17 @@
             .queues
             .entry(request.service.clone())
             .or_insert_with(|| ServiceQueue::new(request.service.clone(), fairness_credit));
-        if queue.has_slot() && queue.queued() == 0 {
-            queue.reset_fairness();
+        if queue.has_slot() && queue.queue.is_empty() {
+            queue.queue.reset_fairness();
             queue.running += 1;
             self.running.insert(request.id);
             org.charge(request, now);
             return Decision::Run(ticket(request, Millis(0)));
         }
-        let ahead = queue.work_ahead(&request.org, request.priority);
-        let wait = queue.service_time(ahead.tokens);
+        let ahead = queue
+            .queue
+            .work_ahead(&request.org, request.priority as usize);
+        let wait = queue.queue.service_time(ahead.work);
         let completion = wait.plus(duration.0);
         if completion > left {
             return refuse(
@@ -223,8 +224,8 @@
                 completion,
             );
         }
-        if queue.queued() >= queue_limit {
-            let Some((priority, key)) = queue.last_after(request.priority, ahead.key) else {
+        if queue.queue.len() >= queue_limit {
+            let Some(last) = queue.queue.last_after(ahead.position) else {
                 return refuse(
                     request,
                     RefusalReason::QueueFull,
@@ -233,31 +234,27 @@
                     completion,
                 );
             };
-            self.drop_queued(&request.service, priority, key, DropReason::Displaced, now);
+            self.drop_queued(&request.service, last, DropReason::Displaced, now);
         }
         if let Some(org) = self.orgs.get_mut(&request.org) {
             org.charge(request, now);
         }
-        let key = self
-            .service_queue(&request.service)
-            .push(request.clone(), weight, now);
+        let position =
+            self.service_queue(&request.service)
+                .queue
+                .push(request.clone(), weight, now);
         self.queued.insert(
             request.id,
-            (
-                request.service.clone(),
-                request.priority,
-                key,
-                request.deadline,
-            ),
+            (request.service.clone(), position, request.deadline),
         );
         self.deadlines.insert((request.deadline, request.id));
-        self.shed_late(&request.service, (request.priority, key), ahead.tokens, now);
+        self.shed_late(&request.service, position, ahead.work, now);
         Decision::Queue(QueuePosition {
             id: request.id,
             org: request.org.clone(),
             priority: request.priority,
             requests_ahead: ahead.requests,
-            tokens_ahead: TokenCount(ahead.tokens),
+            tokens_ahead: TokenCount(ahead.work),
             estimated_wait: wait,
         })
     }
@@ -274,19 +271,20 @@
         let guard = StarvationGuard {
             threshold: self.options.starvation_threshold,
             interval: self.options.starvation_interval,
+            ranks: 0,
         };
         let last_served = self.last_served.take();
         let mut order: Vec<Service> = self
             .queues
             .values()
-            .filter(|queue| queue.has_slot() && queue.queued() > 0)
+            .filter(|queue| queue.has_slot() && !queue.queue.is_empty())
             .map(|queue| queue.service.clone())
             .collect();
         let split = order.partition_point(|name| Some(name) <= last_served.as_ref());
         order.rotate_left(split);
         for service in order {
-            while let Some(queued) = self.service_queue(&service).pop(guard, now) {
-                let QueuedRequest { request, queued_at } = queued;
+            while let Some(queued) = self.service_queue(&service).queue.pop(guard, now) {
+                let Queued { request, queued_at } = queued;
                 self.queued.remove(&request.id);
                 self.deadlines.remove(&(request.deadline, request.id));
                 if now.plus(request.estimated_duration.0) > request.deadline {
@@ -295,7 +293,7 @@
                     } else {
                         DropReason::Late
                     };
-                    self.record_drop(QueuedRequest { request, queued_at }, reason, now);
+                    self.record_drop(Queued { request, queued_at }, reason, now);
                     continue;
                 }
                 self.service_queue(&service).running += 1;
@@ -331,11 +329,11 @@
 
     /// Removes a queued request that its caller abandoned. Returns false if it is not queued.
     pub fn cancel(&mut self, id: RequestId, now: Millis) -> bool {
-        let Some((service, priority, key, deadline)) = self.queued.remove(&id) else {
+        let Some((service, position, deadline)) = self.queued.remove(&id) else {
             return self.cancel_waiting(id);
         };
         self.deadlines.remove(&(deadline, id));
-        let Some(queued) = self.service_queue(&service).remove(priority, key) else {
+        let Some(queued) = self.service_queue(&service).queue.remove(position) else {
             return false;
         };
         let AdmissionRequest {
@@ -357,8 +355,8 @@
             if deadline > now {
                 break;
             }
-            let (service, priority, key, _) = self.queued[&id].clone();
-            self.drop_queued(&service, priority, key, DropReason::Expired, now);
+            let (service, position, _) = self.queued[&id].clone();
+            self.drop_queued(&service, position, DropReason::Expired, now);
         }
         self.expire_waiting(now);
         std::mem::take(&mut self.dropped)
@@ -418,7 +416,7 @@
     pub fn load(&self, service: &Service) -> (usize, usize) {
         self.queues
             .get(service)
-            .map_or((0, 0), |queue| (queue.running, queue.queued()))
+            .map_or((0, 0), |queue| (queue.running, queue.queue.len()))
     }
 
     /// Returns the number of queued and running requests of an organisation.
@@ -449,27 +447,24 @@
 
     /// Drops the queued requests from `from` on that cannot complete before their deadline, given
     /// `tokens` of work ahead of them.
-    fn shed_late(
-        &mut self,
-        service: &Service,
-        from: (Priority, QueueKey),
-        tokens: u64,
-        now: Millis,
-    ) {
-        for (priority, key) in self.service_queue(service).late_requests(from, tokens, now) {
-            self.drop_queued(service, priority, key, DropReason::Late, now);
+    fn shed_late(&mut self, service: &Service, from: Position, tokens: u64, now: Millis) {
+        let late = self
+            .service_queue(service)
+            .queue
+            .late_requests(from, tokens, now);
+        for position in late {
+            self.drop_queued(service, position, DropReason::Late, now);
         }
     }
 
     fn drop_queued(
         &mut self,
         service: &Service,
-        priority: Priority,
-        key: QueueKey,
+        position: Position,
         reason: DropReason,
         now: Millis,
     ) {
-        if let Some(queued) = self.service_queue(service).remove(priority, key) {
+        if let Some(queued) = self.service_queue(service).queue.remove(position) {
             self.queued.remove(&queued.request.id);
             self.deadlines
                 .remove(&(queued.request.deadline, queued.request.id));
@@ -478,18 +473,20 @@
     }
 
     /// Records a request as dropped and returns its charge to the token quota.
-    fn record_drop(&mut self, queued: QueuedRequest, reason: DropReason, now: Millis) {
-        let QueuedRequest { request, queued_at } = queued;
+    fn record_drop(&mut self, queued: Queued<AdmissionRequest>, reason: DropReason, now: Millis) {
+        let Queued { request, queued_at } = queued;
         if let Some(state) = self.orgs.get_mut(&request.org) {
             state.settle(request.estimated_tokens, TokenCount(0), now);
         }
         self.remove_unnamed(&request.org);
         let ahead = self
             .service_queue(&request.service)
-            .work_ahead(&request.org, request.priority);
+            .queue
+            .work_ahead(&request.org, request.priority as usize);
         let retry_after = self
             .service_queue(&request.service)
-            .service_time(ahead.tokens);
+            .queue
+            .service_time(ahead.work);
         self.dropped.push(Dropped {
             id: request.id,
             org: request.org,
