Decide which requests wait for capacity

A request for which there was no capacity was refused at once or sent into the queue of an endpoint, where it can be neither reordered nor withdrawn.

--- a/crates/cumin-admit/src/fair.rs
+++ b/crates/cumin-admit/src/fair.rs
@@ -44,6 +44,12 @@
         arrival: 0,
     };
 
+    /// Returns the rank.
+    #[must_use]
+    pub const fn rank(self) -> usize {
+        self.rank
+    }
+
     const fn key(self) -> QueueKey {
         (self.tag, self.arrival)
     }
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod suspects;
 mod trials;
 pub mod usage;
+pub mod waiting;
--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -21,6 +21,7 @@
 //! * An endpoint that accepts requests but does not answer: it is ranked last if it has
 //!   unanswered requests and was silent for longer than expected.
 
+mod capacity;
 mod mean_time;
 mod models;
 mod trials;
@@ -89,6 +90,18 @@
     pub retry: bool,
     /// Whether it may run once only.
     pub once: bool,
+    /// Room that an endpoint must have for it.
+    pub room: Room,
+}
+
+/// Room that an endpoint must have for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Room {
+    /// Any; the request may wait at the endpoint.
+    #[default]
+    Any,
+    /// A free slot.
+    FreeSlot,
 }
 
 /// Settings of [`Selector`].
@@ -360,6 +373,7 @@
         let candidates: Vec<&Endpoint> = fleet
             .usable(service, now)
             .filter(|endpoint| !avoid.contains(&endpoint.name))
+            .filter(|endpoint| need.room == Room::Any || self.free_slots(endpoint, now) >= 1.0)
             .collect();
         let all_cooling = candidates
             .iter()
