Let requests wait for a slot in the entry

Where engines were full, requests of the least urgent kind were refused at once and those of the urgent kind stood behind long ones in the queues of engines.

The first attempt of a request now takes its turn in the entry's queue where a service with engines has at least two ranks. Waits end by own attempts that end, digests, and a timer of 25 ms; a caller that leaves, the timeout, a stop and a changed document remove the request. Digests state the pressure in a field at their end, which is empty elsewhere.

--- a/crates/cumin-entry/src/waiting.rs
+++ b/crates/cumin-entry/src/waiting.rs
@@ -22,7 +22,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use cumin_admit::{Position, Queueable};
+pub use cumin_admit::Position;
+use cumin_admit::Queueable;
 use cumin_types::{Millis, NodeName, Organisation, Service, score};
 
 pub use self::pressure::{OrgPressure, RankPressure, StatedPressure};
@@ -412,9 +413,9 @@
     }
 
     /// Records that a request that was sent has ended, after it occupied a slot for `held`.
-    pub fn ended(&mut self, service: &Service, work_us: u64, held: Millis, now: Millis) {
+    pub fn ended(&mut self, service: &Service, work_us: u64, held: Millis) {
         if let Some(service) = self.services.get_mut(service) {
-            service.ended(work_us, held, now);
+            service.ended(work_us, held);
         }
     }
 
--- a/crates/cumin-entry/src/waiting/rates.rs
+++ b/crates/cumin-entry/src/waiting/rates.rs
@@ -40,6 +40,35 @@
     }
 }
 
+/// Minimum weight of a new value in a moving mean.
+const MEAN_WEIGHT: f64 = 0.02;
+
+/// A moving mean; the first values count equally.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Mean {
+    value: f64,
+    count: f64,
+}
+
+impl Mean {
+    /// Creates a mean without values, for which a default counts.
+    pub(super) const fn new(default: f64) -> Self {
+        Self {
+            value: default,
+            count: 0.0,
+        }
+    }
+
+    pub(super) fn add(&mut self, value: f64) {
+        self.count += 1.0;
+        self.value += (value - self.value) * MEAN_WEIGHT.max(1.0 / self.count);
+    }
+
+    pub(super) const fn get(self) -> f64 {
+        self.value
+    }
+}
+
 /// Counts of one rank.
 #[derive(Clone, Copy, Debug, Default)]
 struct RankRates {
--- a/crates/cumin-entry/src/waiting/service.rs
+++ b/crates/cumin-entry/src/waiting/service.rs
@@ -6,7 +6,7 @@
 use cumin_types::{Millis, NodeName, Organisation, Service};
 
 use super::pressure::{MAX_STATED_ORGS, PeerPressure};
-use super::rates::Rates;
+use super::rates::{Mean, Rates};
 use super::{
     Capacity, Estimate, Item, OrgPressure, RANKS, RankCount, RankPressure, StatedPressure,
     WaitDecision, WaitEnd, WaitLimit, WaitNumber, WaitOptions, WaitRequest, rank_index,
@@ -19,9 +19,6 @@
 /// Assumed time that a request occupies a slot, before one was measured.
 const DEFAULT_HOLD_MS: f64 = 2000.0;
 
-/// Weight of a measured time in the moving means.
-const MEAN_WEIGHT: f64 = 0.02;
-
 /// Bounds of the ratio of estimated to measured work.
 const MIN_SPEED: f64 = 0.1;
 const MAX_SPEED: f64 = 10.0;
@@ -68,11 +65,11 @@
     peers: PeerPressure,
     rates: Rates,
     /// Mean time that a request occupies a slot, in milliseconds.
-    hold_ms: f64,
+    hold_ms: Mean,
     /// Mean ratio of measured to estimated work.
-    slowness: f64,
+    slowness: Mean,
     /// Work of the last requests, in microseconds.
-    mean_us: f64,
+    mean_us: Mean,
     /// Requests that were displaced from a full queue and are not refused yet.
     displaced: Vec<(Position, Queued<Item>)>,
     /// Turns of refused requests, and the times since which they count as queued.
@@ -96,9 +93,9 @@
             reviewed: Millis(0),
             peers: PeerPressure::default(),
             rates: Rates::default(),
-            hold_ms: DEFAULT_HOLD_MS,
-            slowness: 1.0,
-            mean_us: DEFAULT_HOLD_MS * 1000.0,
+            hold_ms: Mean::new(DEFAULT_HOLD_MS),
+            slowness: Mean::new(1.0),
+            mean_us: Mean::new(DEFAULT_HOLD_MS * 1000.0),
             displaced: Vec::new(),
             turns: HashMap::new(),
         }
@@ -154,14 +151,14 @@
     /// Returns whether so many slots are free that all entries may use them without regard to each
     /// other: twice those that requests occupy in a digest interval.
     fn is_plenty(&self) -> bool {
-        let turnover = float(self.options.max_yield.0) / self.hold_ms.max(1.0);
+        let turnover = float(self.options.max_yield.0) / self.hold_ms.get().max(1.0);
         let part = (2.0 * turnover).clamp(0.02, 0.5);
         self.unused_slots() > (self.capacity.slots * part).max(1.0)
     }
 
     /// Returns the work that the service processes in a second, in microseconds.
     fn rate(&self) -> f64 {
-        let speed = (1.0 / self.slowness).clamp(MIN_SPEED, MAX_SPEED);
+        let speed = (1.0 / self.slowness.get()).clamp(MIN_SPEED, MAX_SPEED);
         self.capacity.slots * 1e6 * speed
     }
 
@@ -232,9 +229,9 @@
         let available = (1.0 - urgent_us * self.nodes / rate).clamp(MIN_AVAILABLE, 1.0);
         let queued_ms = float(ahead.work + peers_us) / (rate * available) * 1000.0;
         // Time until this entry learns of the next slot that becomes free.
-        let notice_ms = self.mean_us * self.nodes / rate * 1000.0;
-        let notice_ms =
-            notice_ms.min(float(self.options.max_yield.0).max(self.mean_us / rate * 1000.0));
+        let next_ms = self.mean_us.get() / rate * 1000.0;
+        let digest_ms = float(self.options.max_yield.0);
+        let notice_ms = (next_ms * self.nodes).min(digest_ms.max(next_ms));
         let head = self.queue.iter().next().map(|(_, queued)| {
             let head = &queued.request.request;
             (head.rank, head.org.clone())
@@ -281,7 +278,7 @@
         if !is_held && refused.is_none() {
             self.rates.offered(&request.org, rank, request.work_us, now);
         }
-        self.mean_us += (float(request.work_us) - self.mean_us) * MEAN_WEIGHT;
+        self.mean_us.add(float(request.work_us));
         self.peers.expire(self.options.peer_ttl, now);
         let (estimate, position) = self.estimate(&request, turn, now);
         // Without any endpoint the selection tells why.
@@ -456,14 +453,14 @@
         self.rates.served(rank, -1.0, now);
     }
 
-    pub(super) fn ended(&mut self, work_us: u64, held: Millis, _now: Millis) {
+    pub(super) fn ended(&mut self, work_us: u64, held: Millis) {
         self.capacity.free += 1.0;
         self.budget += 1.0;
         let held_ms = float(held.0);
-        self.hold_ms += (held_ms - self.hold_ms) * MEAN_WEIGHT;
+        self.hold_ms.add(held_ms);
         // A bounded ratio, so that one stalled request does not outweigh the others.
         let ratio = (held_ms * 1000.0 / float(work_us.max(1))).clamp(MIN_SPEED, MAX_SPEED);
-        self.slowness += (ratio - self.slowness) * MEAN_WEIGHT;
+        self.slowness.add(ratio);
     }
 
     pub(super) fn stated(&self, service: &Service) -> Option<StatedPressure> {
--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -21,7 +21,7 @@
 
 /// Time before the bound on removed keys at which keys are refused if the document was not
 /// confirmed since. It covers the admission of a request and the sending and start of its attempt.
-const REVOKE_MARGIN: Millis = Millis(400);
+pub(crate) const REVOKE_MARGIN: Millis = Millis(400);
 
 /// Minimum time that a refused caller is told to wait.
 pub(crate) const MIN_RETRY_AFTER: Millis = Millis(100);
@@ -187,6 +187,7 @@
         suspicion,
         trial,
         attempts_sent: 0,
+        slot: None,
         tried: Vec::new(),
         estimate_ms: 0.0,
         first_ms: Cell::new(None),
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -124,6 +124,7 @@
             ran: false,
             answered: false,
         };
+        self.slot_sent();
         self.attempts_sent += 1;
         let dialect = &node.platform.dialect;
         let attempt = Attempt {
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -15,6 +15,7 @@
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
 use cumin_entry::suspects::StatedPart;
+use cumin_entry::waiting::StatedPressure;
 use cumin_types::Millis;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,7 @@
 use crate::limit;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
+use crate::waiting;
 
 /// Time between two digests, multiplied by the number of nodes. The loads by which endpoints are
 /// selected are up to this old; until the maximum is reached, a node sends fewer than 100 messages
@@ -81,6 +83,7 @@
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
             leaving: node.fleet.borrow().stated_leaving(node.now()),
+            pressure: node.waiting.stated(),
         };
         let payload = match message.encode() {
             Ok(payload) => payload,
@@ -110,6 +113,7 @@
     limits: Vec<StatedLimit>,
     reads: Option<StatedSpan>,
     leaving: Vec<StatedLeaving>,
+    pressure: Vec<StatedPressure>,
 }
 
 impl Message {
@@ -119,7 +123,8 @@
         let payload = postcard::to_extend(&self.parts, payload)?;
         let payload = postcard::to_extend(&self.limits, payload)?;
         let payload = postcard::to_extend(&self.reads, payload)?;
-        postcard::to_extend(&self.leaving, payload)
+        let payload = postcard::to_extend(&self.leaving, payload)?;
+        postcard::to_extend(&self.pressure, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -129,7 +134,8 @@
         let (parts, rest) = take_or_default(rest)?;
         let (limits, rest) = take_or_default(rest)?;
         let (reads, rest) = take_or_default(rest)?;
-        let (leaving, _) = take_or_default(rest)?;
+        let (leaving, rest) = take_or_default(rest)?;
+        let (pressure, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -137,6 +143,7 @@
             limits,
             reads,
             leaving,
+            pressure,
         })
     }
 }
@@ -286,6 +293,7 @@
         limits,
         reads,
         leaving: stated_leaving,
+        pressure,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -334,6 +342,8 @@
     let name = digest.node.as_str();
     selector.merge_peer(name, &digest.loads, &digest.sent, max_memory, now);
     selector.merge_fits(name, &extension.fits, now);
+    drop(selector);
+    node.waiting.merge_peer(&digest.node, pressure, now);
 }
 
 /// Announces this node in the store, then lists the other nodes periodically; does not return.
@@ -429,11 +439,12 @@
     let quarantined = suspects.quarantined().len();
     metrics.quarantined.set(number(quarantined));
     metrics.limited.set(number(node.limits.borrow().count()));
-    let waiting = node.limits.borrow().waiting(now);
-    metrics.waiting.set(number(waiting));
+    let paused = node.limits.borrow().waiting(now);
+    metrics.waiting.set(number(paused));
     let leaving = node.fleet.borrow().leaving_count();
     metrics.leaving.set(number(leaving));
     let memory = node.memory.borrow();
     metrics.held_bytes.set(number(memory.held()));
     metrics.held_limit.set(number(memory.total()));
+    waiting::update_gauges(node);
 }
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -26,6 +26,7 @@
 mod request;
 pub mod sink;
 mod stop;
+mod waiting;
 
 use std::io;
 use std::net::SocketAddr;
@@ -110,6 +111,7 @@
     actix_rt::spawn(gossip::receive(node.clone(), socket));
     actix_rt::spawn(relay::receive(node.clone()));
     actix_rt::spawn(duty::run(node.clone()));
+    actix_rt::spawn(waiting::run(node.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -36,6 +36,24 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of requests of services whose requests may wait, by rank.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct RankLabels {
+    /// The rank.
+    pub(crate) rank: u32,
+    /// What became of the request.
+    pub(crate) result: &'static str,
+}
+
+/// Labels of requests of services whose requests may wait, by organisation.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct OrgLabels {
+    /// The organisation, or `other` beyond the maximum number of labels.
+    pub(crate) org: String,
+    /// What became of the request.
+    pub(crate) result: &'static str,
+}
+
 /// Metrics of a node and their registry.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -60,6 +78,9 @@
     pub(crate) leaving: Gauge,
     pub(crate) held_bytes: Gauge,
     pub(crate) held_limit: Gauge,
+    pub(crate) waits: Family<RankLabels, Counter>,
+    pub(crate) org_waits: Family<OrgLabels, Counter>,
+    pub(crate) queued: Family<RankLabels, Gauge>,
 }
 
 /// Creates a histogram of seconds with buckets from 1 ms to 16 s.
@@ -91,6 +112,9 @@
             leaving: Gauge::default(),
             held_bytes: Gauge::default(),
             held_limit: Gauge::default(),
+            waits: Family::default(),
+            org_waits: Family::default(),
+            queued: Family::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -154,6 +178,7 @@
             m.quarantined.clone(),
         );
         register_bounds(&mut registry, m);
+        register_waits(&mut registry, m);
         Self {
             registry,
             ..metrics
@@ -194,6 +219,25 @@
     }
 }
 
+/// Registers the counts of requests of services whose requests may wait.
+fn register_waits(registry: &mut Registry, metrics: &Metrics) {
+    registry.register(
+        "waits",
+        "Requests by rank that waited for capacity, were served or refused",
+        metrics.waits.clone(),
+    );
+    registry.register(
+        "org_waits",
+        "Requests by organisation that waited for capacity, were served or refused",
+        metrics.org_waits.clone(),
+    );
+    registry.register(
+        "queued",
+        "Requests that wait for capacity at present, by rank",
+        metrics.queued.clone(),
+    );
+}
+
 impl Metrics {
     /// Encodes the metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -30,6 +30,7 @@
 
 use crate::crash::Check;
 use crate::metrics::Metrics;
+use crate::waiting::WaitRoom;
 
 /// Adapters of the platform that a node runs on.
 pub struct Platform {
@@ -122,6 +123,8 @@
     pub(crate) limits: RefCell<RateLimits>,
     /// Bytes that are held for callers.
     pub(crate) memory: RefCell<MemoryBudget>,
+    /// Requests that wait for capacity.
+    pub(crate) waiting: WaitRoom,
     /// Notified when held bytes are returned.
     pub(crate) memory_notify: Notify,
     /// Endpoints of which it is being checked whether they crashed.
@@ -176,6 +179,7 @@
             limits: RefCell::new(RateLimits::new(settings.node.clone())),
             memory: RefCell::new(MemoryBudget::new(&memory)),
             memory_notify: Notify::new(),
+            waiting: WaitRoom::new(&settings.node),
             checks: RefCell::default(),
             peers: RefCell::default(),
             lease: Cell::new(None),
@@ -291,7 +295,9 @@
         self.metrics
             .revision
             .set(saturating_i64(document.revision.0));
-        *self.table.borrow_mut() = Some(Rc::new(Table::new(document)));
+        let table = Rc::new(Table::new(document));
+        *self.table.borrow_mut() = Some(table.clone());
+        self.waiting.apply_document(table.document());
     }
 
     /// Calls `f` with the retry budget of a service.
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -11,7 +11,7 @@
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::limits::Blocked;
 use cumin_entry::platform::CallerRequest;
-use cumin_entry::selection::{Choice, Need};
+use cumin_entry::selection::{Choice, Need, Room};
 use cumin_entry::suspects::Suspicion;
 use cumin_types::{EndpointName, Millis, Service, score};
 
@@ -26,6 +26,7 @@
 use crate::metrics::{ReasonLabel, RequestLabels};
 use crate::node::Node;
 use crate::reply::{Reply, ReplyEnd};
+use crate::waiting::Slot;
 
 /// Number of failed connections after which a request gives up.
 const MAX_FAILED_CONNECTIONS: usize = 4;
@@ -34,7 +35,7 @@
 const RETURN_SPREAD: Millis = Millis(500);
 
 /// Time after which a refused request may be retried, reason and detail of the refusal.
-type NoAttempt = (Millis, &'static str, String);
+pub(crate) type NoAttempt = (Millis, &'static str, String);
 
 /// A request that was admitted and not yet answered.
 pub(crate) struct ActiveRequest<'a> {
@@ -52,6 +53,8 @@
     pub(crate) trial: bool,
     /// Number of attempts that were sent; raised to the route's maximum to rule out a retry.
     pub(crate) attempts_sent: u32,
+    /// Slot that the first attempt uses, where requests wait for slots.
+    pub(crate) slot: Option<Slot>,
     /// Endpoints that were chosen so far, in order.
     pub(crate) tried: Vec<EndpointName>,
     /// Estimated time of the last attempt until its first event or answer.
@@ -171,6 +174,7 @@
             engine,
             retry: false,
             once: !self.route.kind.is_repeatable(),
+            room: Room::Any,
         }
     }
 
@@ -189,9 +193,13 @@
                 // After a failed attempt a late answer is better than none.
                 need.goal_left = need.goal_left.max(Millis(need.time_left.0 / 2));
             }
-            let choice = self
-                .choose(&need, is_retry, now)
-                .map_err(|refusal| self.refuse_waiting(refusal, now));
+            let choice = if !is_retry && self.may_wait() {
+                self.choose_in_turn(&mut need).await
+            } else {
+                self.choose(&need, is_retry, now)
+            };
+            let now = self.node.now();
+            let choice = choice.map_err(|refusal| self.refuse_waiting(refusal, now));
             let (endpoint, estimate_ms) = match choice {
                 Ok(chosen) => chosen,
                 Err((retry_after, reason, detail)) => {
@@ -218,6 +226,7 @@
             let attempt_end = self
                 .attempt(&endpoint, &need, estimate_ms, &mut events, reply)
                 .await?;
+            self.slot = None;
             let reason = match &attempt_end {
                 AttemptEnd::Answered(..) => "answered",
                 AttemptEnd::NotSent => "unsent",
@@ -264,6 +273,37 @@
         }
     }
 
+    /// Chooses an endpoint with a free slot for the first attempt, once it is this request's turn.
+    async fn choose_in_turn(&mut self, need: &mut Need) -> Result<(Endpoint, f64), NoAttempt> {
+        let mut turn = None;
+        for is_last in [false, false, true] {
+            let known = self.wait_for_capacity(need, turn).await?;
+            turn = Some(known);
+            let now = self.node.now();
+            *need = self.need(now);
+            need.goal_left = self.wait_goal(need);
+            let fleet = self.node.fleet.borrow();
+            let is_open = fleet.usable(self.service, now).next().is_some();
+            drop(fleet);
+            if is_open {
+                need.room = Room::FreeSlot;
+            }
+            let choice = self.choose(need, false, now);
+            // No endpoint had a free slot, or those that had one were not fast enough.
+            let waits =
+                |refusal: &NoAttempt| is_open && matches!(refusal.1, "full" | "no_endpoint");
+            match choice {
+                Err(refusal) if !is_last && waits(&refusal) => {}
+                Err(refusal) => {
+                    self.slot_refused();
+                    return Err(refusal);
+                }
+                chosen => return chosen,
+            }
+        }
+        Err((DEFAULT_RETRY_AFTER, "full", String::new()))
+    }
+
     /// Chooses an endpoint for an attempt unless the request must be refused.
     fn choose(
         &self,
--- a/crates/cumin-serve/src/stop.rs
+++ b/crates/cumin-serve/src/stop.rs
@@ -36,6 +36,7 @@
     };
     node.phase.set(Phase::Stopping(stop));
     log::info!("event=stopping active={}", node.active.get());
+    node.waiting.stop();
     node.stop_notify.notify_waiters();
     let mut idle_notified = false;
     while !stop.exits(node.active.get(), node.now()) {
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -21,3 +21,4 @@
 mod support;
 mod unframed;
 mod unnamed_requests;
+mod waiting;
