Test waiting on simulated entries and on a real one

On a real entry, a caller that leaves, the timeout, a removed key and a stop each end a wait, and nothing is sent afterwards. The entry reads the loads of peers less often while many slots are free, and releases at most every 5 ms.

--- a/crates/cumin-entry/src/waiting/service.rs
+++ b/crates/cumin-entry/src/waiting/service.rs
@@ -13,9 +13,13 @@
 };
 use crate::suspects::Fingerprint;
 
-/// Age at which a capacity is observed again. Own requests that begin and end are counted meanwhile.
+/// Age at which a capacity is observed again, which reads the loads of all endpoints and peers. Own
+/// requests that begin and end are counted meanwhile.
 const CAPACITY_TTL: Millis = Millis(10);
 
+/// The same while many slots are free.
+const PLENTY_TTL: Millis = Millis(50);
+
 /// Assumed time that a request occupies a slot, before one was measured.
 const DEFAULT_HOLD_MS: f64 = 2000.0;
 
@@ -114,8 +118,12 @@
     }
 
     pub(super) fn needs_capacity(&self, now: Millis) -> bool {
-        self.observed
-            .is_none_or(|at| now.since(at) >= CAPACITY_TTL.0)
+        let ttl = if self.is_plenty() {
+            PLENTY_TTL
+        } else {
+            CAPACITY_TTL
+        };
+        self.observed.is_none_or(|at| now.since(at) >= ttl.0)
     }
 
     pub(super) fn observe(&mut self, capacity: Capacity, nodes: usize, now: Millis) {
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod selection;
 mod stop;
 mod suspects;
+mod waiting;
 
 use std::net::SocketAddr;
 
--- a/crates/cumin-serve/src/waiting.rs
+++ b/crates/cumin-serve/src/waiting.rs
@@ -22,6 +22,9 @@
 /// Longest time between two releases while requests wait.
 const RELEASE_INTERVAL: Millis = Millis(25);
 
+/// Shortest time between two releases: many peers send digests, and each of them wakes the task.
+const RELEASE_PAUSE: Millis = Millis(5);
+
 /// Maximum number of organisations with metrics of their own.
 const MAX_ORG_LABELS: usize = 32;
 
@@ -178,6 +181,7 @@
             let _ = tokio::time::timeout(RELEASE_INTERVAL.duration(), notified).await;
         }
         release(&node);
+        tokio::time::sleep(RELEASE_PAUSE.duration()).await;
     }
 }
 
--- a/crates/cumin-serve/tests/all/waiting.rs
+++ b/crates/cumin-serve/tests/all/waiting.rs
@@ -1,8 +1,11 @@
 //! Requests that wait in the entry for a slot of an engine.
 
+use std::env;
+use std::process::Command;
 use std::time::Duration;
 
 use cumin_entry::platform::Stream;
+use rustix::process::{Signal, getpid, kill_process};
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -193,3 +196,35 @@
         assert_eq!(engine.count(), 1, "nothing is sent afterwards");
     });
 }
+
+/// Set in the process of its own that [`entry_stops`] starts.
+const STOP_PROCESS: &str = "CUMIN_TEST_STOP_PROCESS";
+
+/// An entry that stops must refuse its waiting requests as not run at once, and not send them. The
+/// signal ends all entries of a process, so the test runs in one of its own.
+#[test]
+fn entry_stops() {
+    if env::var_os(STOP_PROCESS).is_none() {
+        let mut command = Command::new(env::current_exe().unwrap());
+        command.args(["--exact", "waiting::entry_stops", "--nocapture"]);
+        let status = command.env(STOP_PROCESS, "1").status().unwrap();
+        assert!(status.success(), "{status}");
+        return;
+    }
+    run(async {
+        let (entry, engine) = start(WORK * 3, 5).await;
+        let first = call(&entry, "/later/first");
+        eventually("the first request is sent", || engine.count() == 1).await;
+        let second = call(&entry, "/later/second");
+        until_waiting(&entry, 1).await;
+        kill_process(getpid(), Signal::TERM).unwrap();
+        let since = Instant::now();
+        let answer = second.await.unwrap();
+        let took = since.elapsed();
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+        assert!(took < Duration::from_millis(300), "{took:?}");
+        assert!(first.await.unwrap().starts_with("HTTP/1.1 200"));
+        sleep(WORK).await;
+        assert_eq!(engine.count(), 1, "nothing is sent afterwards");
+    });
+}
