Estimate waits by slots that become free, and relieve starved ranks

On simulated entries at twice the capacity, the least urgent rank was served a quarter as often as all: its requests were refused by the estimate before relief could apply. At 66 entries and the capacity, 9% were refused, since each entry counted waiting work as if it ran on one slot after the other, and sent one request per 250 ms past more urgent work at others.

Waits are now the requests ahead over the slots that become free in a second, starved ranks are estimated by the part that relief gives them, fresh statements of peers are yielded to, and shed requests return their virtual time.

--- a/crates/cumin-admit/src/admission.rs
+++ b/crates/cumin-admit/src/admission.rs
@@ -284,7 +284,7 @@
         order.rotate_left(split);
         for service in order {
             while let Some(queued) = self.service_queue(&service).queue.pop(guard, now) {
-                let Queued { request, queued_at } = queued;
+                let request = &queued.request;
                 self.queued.remove(&request.id);
                 self.deadlines.remove(&(request.deadline, request.id));
                 if now.plus(request.estimated_duration.0) > request.deadline {
@@ -293,13 +293,14 @@
                     } else {
                         DropReason::Late
                     };
-                    self.record_drop(Queued { request, queued_at }, reason, now);
+                    self.record_drop(queued, reason, now);
                     continue;
                 }
                 self.service_queue(&service).running += 1;
                 self.running.insert(request.id);
                 self.last_served = Some(service);
-                return Some(ticket(&request, Millis(now.since(queued_at))));
+                let waited = Millis(now.since(queued.queued_at));
+                return Some(ticket(&queued.request, waited));
             }
         }
         self.last_served = last_served;
@@ -474,7 +475,9 @@
 
     /// Records a request as dropped and returns its charge to the token quota.
     fn record_drop(&mut self, queued: Queued<AdmissionRequest>, reason: DropReason, now: Millis) {
-        let Queued { request, queued_at } = queued;
+        let Queued {
+            request, queued_at, ..
+        } = queued;
         if let Some(state) = self.orgs.get_mut(&request.org) {
             state.settle(request.estimated_tokens, TokenCount(0), now);
         }
--- a/crates/cumin-admit/src/fair.rs
+++ b/crates/cumin-admit/src/fair.rs
@@ -65,6 +65,8 @@
     pub request: T,
     /// Time since which it counts as queued.
     pub queued_at: Millis,
+    /// Virtual time that it takes.
+    cost: VirtualTime,
 }
 
 #[derive(Debug)]
@@ -181,6 +183,13 @@
         classes.position(|class| !class.requests.is_empty())
     }
 
+    /// Returns the queued request at a position.
+    #[must_use]
+    pub fn get(&self, position: Position) -> Option<&Queued<T>> {
+        let class = self.classes.get(position.rank)?;
+        class.requests.get(&position.key())
+    }
+
     /// Returns the queued requests in the order of service without relief.
     pub fn iter(&self) -> impl Iterator<Item = (Position, &Queued<T>)> {
         self.classes.iter().enumerate().flat_map(|(rank, class)| {
@@ -298,6 +307,7 @@
             Queued {
                 request,
                 queued_at: since,
+                cost,
             },
         );
         position
@@ -320,6 +330,18 @@
         Some(queued)
     }
 
+    /// Removes a request that is refused, and returns its virtual time to its organisation.
+    ///
+    /// Unlike [`Self::remove`], this holds also if later requests of the organisation are queued.
+    pub fn shed(&mut self, position: Position) -> Option<Queued<T>> {
+        let class = &mut self.classes[position.rank];
+        let queued = class.remove(position.key())?;
+        if let Some(finish) = class.finish_tags.get_mut(queued.request.org()) {
+            *finish = finish.saturating_sub(queued.cost);
+        }
+        Some(queued)
+    }
+
     /// Returns the rank that [`Self::pop`] would serve next.
     #[must_use]
     pub fn next_rank(&self, guard: StarvationGuard, now: Millis) -> Option<usize> {
--- a/crates/cumin-entry/src/waiting.rs
+++ b/crates/cumin-entry/src/waiting.rs
@@ -54,8 +54,8 @@
     pub limit: WaitLimit,
     /// Maximum number of waiting requests of a service.
     pub max_requests: usize,
-    /// Maximum work of the waiting requests of a service, as time that its endpoints take for it.
-    pub max_work: Millis,
+    /// Maximum work of the waiting requests of a service, as time until its endpoints have begun it.
+    pub max_wait: Millis,
     /// Maximum time that the entry yields to others at a time: a digest interval.
     pub max_yield: Millis,
     /// Time for which a peer's pressure counts: two digests may be lost.
@@ -80,7 +80,7 @@
         Self {
             limit: WaitLimit::Goal,
             max_requests: 1024,
-            max_work: Millis(10_000),
+            max_wait: Millis(10_000),
             max_yield: Millis(250),
             peer_ttl: Millis(750),
             credit: Millis(100),
@@ -168,13 +168,11 @@
     pub left: Millis,
     /// Waiting requests ahead of it at this entry.
     pub ahead: usize,
-    /// Their work, in microseconds.
-    pub ahead_us: u64,
-    /// Work ahead of it that waits at peers, in microseconds.
-    pub peers_us: u64,
+    /// Requests that wait at peers and are served before it.
+    pub peers: f64,
     /// Slots of the service, and how many of them are free.
     pub capacity: Capacity,
-    /// Work that the service processes in a second, in microseconds.
+    /// Slots of the service that become free in a second.
     pub rate: f64,
     /// Part of the rate that more urgent ranks leave.
     pub available: f64,
@@ -186,14 +184,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "wait_ms={} first_ms={} left_ms={} ahead={} ahead_us={} peers_us={} slots={:.0} \
-             free={:.0} rate={:.0} available={:.2} head=",
+            "wait_ms={} first_ms={} left_ms={} ahead={} peers={:.0} slots={:.0} free={:.0} \
+             rate={:.1} available={:.2} head=",
             self.wait,
             self.first,
             self.left,
             self.ahead,
-            self.ahead_us,
-            self.peers_us,
+            self.peers,
             self.capacity.slots,
             self.capacity.free,
             self.rate,
@@ -413,9 +410,9 @@
     }
 
     /// Records that a request that was sent has ended, after it occupied a slot for `held`.
-    pub fn ended(&mut self, service: &Service, work_us: u64, held: Millis) {
+    pub fn ended(&mut self, service: &Service, held: Millis) {
         if let Some(service) = self.services.get_mut(service) {
-            service.ended(work_us, held);
+            service.ended(held);
         }
     }
 
--- a/crates/cumin-entry/src/waiting/pressure.rs
+++ b/crates/cumin-entry/src/waiting/pressure.rs
@@ -77,20 +77,24 @@
         matching.map(|stated| f64::from(stated.requests)).sum()
     }
 
-    /// Returns the work that waits at peers, in microseconds.
-    pub(super) fn total_us(&self) -> f64 {
-        let work = self.ranks().map(|stated| stated.work_us);
-        super::service::float(work.sum())
+    /// Returns the number of requests in a rank up to `rank` that peers stated within `age`.
+    pub(super) fn fresh_requests(&self, rank: usize, age: Millis, now: Millis) -> f64 {
+        let peers = self.peers.values();
+        let fresh = peers.filter(|(_, heard)| now.since(*heard) <= age.0);
+        let ranks = fresh.flat_map(|(stated, _)| &stated.ranks);
+        let matching = ranks.filter(|stated| rank_index(stated.rank) <= rank);
+        matching.map(|stated| f64::from(stated.requests)).sum()
     }
 
-    /// Returns the work that is served before a request of `org` that wants `work_us`.
+    /// Returns the number of requests of more urgent ranks, and of those of the same rank, that are
+    /// served before one of `org`, which with those of `org` ahead of it wants `work_us`.
     ///
     /// Of its own rank, each organisation has at most as much work ahead of it as its own one has.
-    pub(super) fn ahead_us(&self, org: &Organisation, rank: usize, work_us: u64) -> u64 {
-        let urgent = self.ranks().filter(|stated| rank_index(stated.rank) < rank);
-        let urgent: u64 = urgent.map(|stated| stated.work_us).sum();
+    pub(super) fn ahead(&self, org: &Organisation, rank: usize, work_us: u64) -> (f64, f64) {
         let same = self.ranks().filter(|s| rank_index(s.rank) == rank);
-        let same: u64 = same.map(|stated| stated.work_us).sum();
+        let (requests, same_us) = same.fold((0.0, 0), |(requests, work), stated| {
+            (requests + f64::from(stated.requests), work + stated.work_us)
+        });
         let mut orgs: BTreeMap<&Organisation, u64> = BTreeMap::new();
         for stated in self.peers.values().flat_map(|(stated, _)| &stated.orgs) {
             if rank_index(stated.rank) == rank {
@@ -100,6 +104,8 @@
         let named: u64 = orgs.values().sum();
         let own = work_us + orgs.get(org).copied().unwrap_or_default();
         let limited: u64 = orgs.values().map(|work| (*work).min(own)).sum();
-        urgent + limited + same.saturating_sub(named)
+        let ahead_us = limited + same_us.saturating_sub(named);
+        let part = super::service::float(ahead_us) / super::service::float(same_us.max(1));
+        (self.requests(rank) - requests, requests * part.min(1.0))
     }
 }
--- a/crates/cumin-entry/src/waiting/rates.rs
+++ b/crates/cumin-entry/src/waiting/rates.rs
@@ -9,8 +9,9 @@
 /// Time constant of the counts by rank, in milliseconds. Capacity is short for 3 to 6 s at a time.
 const RANK_SPAN_MS: f64 = 4000.0;
 
-/// Time constant of the rate of work that arrives, in milliseconds.
-const ARRIVAL_SPAN_MS: f64 = 1000.0;
+/// Time constant of the rate of work that arrives, in milliseconds. At
+/// many entries each sees few requests a second, and a mean over 1 s varies by half.
+const ARRIVAL_SPAN_MS: f64 = 3000.0;
 
 /// Time constant of the usual work of an organisation, in milliseconds. It is long against a rise of
 /// 9 s, so that such a rise does not count as usual.
@@ -22,6 +23,9 @@
 /// Number of organisations from which those without recent work are forgotten.
 const MAX_ORGS: usize = 256;
 
+/// Weight of an organisation to which all of the work belongs.
+const WEIGHT_SCALE: f64 = 10_000.0;
+
 /// A sum that decays exponentially.
 #[derive(Clone, Copy, Debug, Default)]
 struct Decayed {
@@ -44,28 +48,21 @@
 const MEAN_WEIGHT: f64 = 0.02;
 
 /// A moving mean; the first values count equally.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Mean {
     value: f64,
     count: f64,
 }
 
 impl Mean {
-    /// Creates a mean without values, for which a default counts.
-    pub(super) const fn new(default: f64) -> Self {
-        Self {
-            value: default,
-            count: 0.0,
-        }
-    }
-
     pub(super) fn add(&mut self, value: f64) {
         self.count += 1.0;
         self.value += (value - self.value) * MEAN_WEIGHT.max(1.0 / self.count);
     }
 
-    pub(super) const fn get(self) -> f64 {
-        self.value
+    /// Returns the mean; `None` without values.
+    pub(super) fn get(self) -> Option<f64> {
+        (self.count > 0.0).then_some(self.value)
     }
 }
 
@@ -74,7 +71,6 @@
 struct RankRates {
     offered: Decayed,
     served: Decayed,
-    work: Decayed,
     arrivals: Decayed,
 }
 
@@ -83,6 +79,8 @@
 pub(super) struct Rates {
     ranks: [RankRates; RANKS],
     usual: HashMap<Organisation, Decayed>,
+    /// Usual work of all organisations.
+    all: Decayed,
     /// Time of the first request.
     since: Option<Millis>,
 }
@@ -94,7 +92,6 @@
         let work = super::service::float(work_us);
         let rates = &mut self.ranks[rank];
         rates.offered.add(1.0, RANK_SPAN_MS, now);
-        rates.work.add(work, ARRIVAL_SPAN_MS, now);
         rates.arrivals.add(1.0, ARRIVAL_SPAN_MS, now);
         if self.usual.len() >= MAX_ORGS && !self.usual.contains_key(org) {
             self.usual
@@ -102,6 +99,7 @@
         }
         let usual = self.usual.entry(org.clone()).or_default();
         usual.add(work, USUAL_SPAN_MS, now);
+        self.all.add(work, USUAL_SPAN_MS, now);
     }
 
     /// Counts a request that may be sent; `count` is negative for one that was not.
@@ -109,34 +107,29 @@
         self.ranks[rank].served.add(count, RANK_SPAN_MS, now);
     }
 
-    /// Returns the weight of an organisation: its usual work, in milliseconds.
+    /// Returns the weight of an organisation: its part of the usual work.
     pub(super) fn weight(&self, org: &Organisation, now: Millis) -> u32 {
         let usual = self.usual.get(org).copied().unwrap_or_default();
+        let all = self.all.get(USUAL_SPAN_MS, now).max(1.0);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a cast from float saturates, and the value is not negative"
         )]
-        let weight = (usual.get(USUAL_SPAN_MS, now) / 1000.0) as u32;
+        let weight = (usual.get(USUAL_SPAN_MS, now) / all * WEIGHT_SCALE) as u32;
         weight.max(1)
     }
 
-    /// Returns the requests and the work per second that arrive here in ranks more urgent than
-    /// `rank`.
-    pub(super) fn urgent(&self, rank: usize, now: Millis) -> (f64, f64) {
+    /// Returns the requests per second that arrive here in ranks more urgent than `rank`.
+    pub(super) fn urgent(&self, rank: usize, now: Millis) -> f64 {
         let Some(since) = self.since else {
-            return (0.0, 0.0);
+            return 0.0;
         };
         let elapsed = super::service::float(now.since(since)).max(ARRIVAL_SPAN_MS / 4.0);
         let covered = ARRIVAL_SPAN_MS * (1.0 - (-elapsed / ARRIVAL_SPAN_MS).exp()) / 1000.0;
         let ranks = self.ranks[..rank].iter();
-        let sums = ranks.fold((0.0, 0.0), |(requests, work), rates| {
-            (
-                requests + rates.arrivals.get(ARRIVAL_SPAN_MS, now),
-                work + rates.work.get(ARRIVAL_SPAN_MS, now),
-            )
-        });
-        (sums.0 / covered, sums.1 / covered)
+        let arrivals = ranks.map(|rates| rates.arrivals.get(ARRIVAL_SPAN_MS, now));
+        arrivals.sum::<f64>() / covered
     }
 
     /// Returns the share of the requests of a rank that was served; `None` if there were few.
--- a/crates/cumin-entry/src/waiting/service.rs
+++ b/crates/cumin-entry/src/waiting/service.rs
@@ -20,13 +20,9 @@
 /// The same while many slots are free.
 const PLENTY_TTL: Millis = Millis(50);
 
-/// Assumed time that a request occupies a slot, before one was measured.
+/// Assumed time that a request occupies a slot, before any was estimated.
 const DEFAULT_HOLD_MS: f64 = 2000.0;
 
-/// Bounds of the ratio of estimated to measured work.
-const MIN_SPEED: f64 = 0.1;
-const MAX_SPEED: f64 = 10.0;
-
 /// Slots are kept for the more urgent requests that arrive in this time, in seconds: requests are
 /// released at least this often.
 const RESERVE_SECONDS: f64 = 0.025;
@@ -43,6 +39,10 @@
 const INVERSION_STEP: f64 = 0.2;
 const MAX_INVERSION: f64 = 0.2;
 
+/// Free slots that an entry without waiting requests is assumed to need for those that arrive until
+/// the next digests, in requests.
+const IDLE_NEED: f64 = 0.3;
+
 /// Part of the rate that a rank is assumed to get whatever more urgent ranks ask for.
 const MIN_AVAILABLE: f64 = 0.1;
 
@@ -61,19 +61,15 @@
     /// Free slots that this entry may use until `refilled` is a digest interval ago.
     budget: f64,
     refilled: Option<Millis>,
-    /// Time since which this entry yields.
-    yielding: Option<Millis>,
     /// Part of the slots that is kept for ranks more urgent than each rank.
     inverted: [f64; RANKS],
     reviewed: Millis,
     peers: PeerPressure,
     rates: Rates,
-    /// Mean time that a request occupies a slot, in milliseconds.
-    hold_ms: Mean,
-    /// Mean ratio of measured to estimated work.
-    slowness: Mean,
-    /// Work of the last requests, in microseconds.
-    mean_us: Mean,
+    /// Time that requests occupied a slot, in milliseconds.
+    held_ms: Mean,
+    /// The same as estimated, which counts until one was measured.
+    expected_ms: Mean,
     /// Requests that were displaced from a full queue and are not refused yet.
     displaced: Vec<(Position, Queued<Item>)>,
     /// Turns of refused requests, and the times since which they count as queued.
@@ -92,14 +88,12 @@
             allowed: 0.0,
             budget: phase,
             refilled: None,
-            yielding: None,
             inverted: [0.0; RANKS],
             reviewed: Millis(0),
             peers: PeerPressure::default(),
             rates: Rates::default(),
-            hold_ms: Mean::new(DEFAULT_HOLD_MS),
-            slowness: Mean::new(1.0),
-            mean_us: Mean::new(DEFAULT_HOLD_MS * 1000.0),
+            held_ms: Mean::default(),
+            expected_ms: Mean::default(),
             displaced: Vec::new(),
             turns: HashMap::new(),
         }
@@ -129,20 +123,17 @@
     pub(super) fn observe(&mut self, capacity: Capacity, nodes: usize, now: Millis) {
         self.capacity = capacity;
         self.observed = Some(now);
-        self.nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
+        self.nodes = count(nodes.max(1));
         let due = self
             .refilled
-            .is_none_or(|at| now.since(at) >= self.options.max_yield.0);
+            .is_none_or(|at| now.since(at) >= self.options.max_yield.0 / 2);
         if due {
             let rank = self.queue.first_rank().unwrap_or(RANKS - 1);
-            let own = (0..=rank)
-                .map(|rank| self.queue.load(rank).0)
-                .sum::<usize>();
-            let own = f64::from(u32::try_from(own).unwrap_or(u32::MAX));
+            let own = count((0..=rank).map(|rank| self.queue.load(rank).0).sum());
             let peers = self.peers.requests(rank);
             // An entry without waiting requests gets its part for those that arrive.
             let share = if own + peers > 0.0 {
-                (own + 1.0) / (own + peers + self.nodes)
+                (own + IDLE_NEED) / (own + peers + IDLE_NEED * self.nodes)
             } else {
                 1.0 / self.nodes
             };
@@ -159,27 +150,32 @@
     /// Returns whether so many slots are free that all entries may use them without regard to each
     /// other: twice those that requests occupy in a digest interval.
     fn is_plenty(&self) -> bool {
-        let turnover = float(self.options.max_yield.0) / self.hold_ms.get().max(1.0);
+        let turnover = float(self.options.max_yield.0) / self.hold_ms();
         let part = (2.0 * turnover).clamp(0.02, 0.5);
         self.unused_slots() > (self.capacity.slots * part).max(1.0)
     }
 
-    /// Returns the work that the service processes in a second, in microseconds.
+    /// Returns the mean time that a request occupies a slot, in milliseconds.
+    fn hold_ms(&self) -> f64 {
+        let hold_ms = self.held_ms.get().or(self.expected_ms.get());
+        hold_ms.unwrap_or(DEFAULT_HOLD_MS).max(1.0)
+    }
+
+    /// Returns the number of slots that become free in a second.
     fn rate(&self) -> f64 {
-        let speed = (1.0 / self.slowness.get()).clamp(MIN_SPEED, MAX_SPEED);
-        self.capacity.slots * 1e6 * speed
+        (self.capacity.slots * 1000.0 / self.hold_ms()).max(0.001)
     }
 
     /// Returns the slots that are kept for ranks more urgent than `rank`.
     fn reserve(&self, rank: usize, now: Millis) -> f64 {
-        let (requests, _) = self.rates.urgent(rank, now);
+        let requests = self.rates.urgent(rank, now);
         let expected = requests * self.nodes * RESERVE_SECONDS;
         let bounded = expected.min(self.capacity.slots * MAX_RESERVE);
         (bounded + self.inverted[rank] * self.capacity.slots).floor()
     }
 
     /// Returns whether a request of `rank` may be sent now.
-    fn can_send(&mut self, rank: usize, starved: u64, now: Millis) -> bool {
+    fn can_send(&self, rank: usize, starved: u64, now: Millis) -> bool {
         let unused = self.unused_slots();
         let is_starved = starved >> rank & 1 == 1;
         let reserve = if is_starved {
@@ -198,25 +194,20 @@
     }
 
     /// Returns whether a free slot is left to more urgent work at other entries.
-    fn yields(&mut self, rank: usize, now: Millis) -> bool {
-        self.peers.expire(self.options.peer_ttl, now);
-        let urgent = rank
-            .checked_sub(1)
-            .map_or(0.0, |more| self.peers.requests(more));
-        if urgent == 0.0 || self.unused_slots() > urgent {
-            self.yielding = None;
+    ///
+    /// A statement counts for one digest interval, so that a lost entry does not block others.
+    fn yields(&self, rank: usize, now: Millis) -> bool {
+        let Some(more) = rank.checked_sub(1) else {
             return false;
-        }
-        let since = *self.yielding.get_or_insert(now);
-        now.since(since) < self.options.max_yield.0
+        };
+        let urgent = self.peers.fresh_requests(more, self.options.max_yield, now);
+        urgent > 0.0 && self.unused_slots() <= urgent
     }
 
     /// Allows a request to be sent.
     fn allow(&mut self, rank: usize, now: Millis) {
         self.allowed += 1.0;
         self.budget -= 1.0;
-        // The next request of this rank yields again.
-        self.yielding = None;
         self.rates.served(rank, 1.0, now);
     }
 
@@ -229,15 +220,27 @@
     ) -> (Estimate, Position) {
         let rank = rank_index(request.rank);
         let ahead = self.queue.work_ahead_of_turn(&request.org, rank, turn);
-        let peers_us = self
-            .peers
-            .ahead_us(&request.org, rank, ahead.work + request.work_us);
-        let rate = self.rate().max(1.0);
-        let (_, urgent_us) = self.rates.urgent(rank, now);
-        let available = (1.0 - urgent_us * self.nodes / rate).clamp(MIN_AVAILABLE, 1.0);
-        let queued_ms = float(ahead.work + peers_us) / (rate * available) * 1000.0;
+        let (peers_urgent, peers_same) =
+            self.peers
+                .ahead(&request.org, rank, ahead.work + request.work_us);
+        let rate = self.rate();
+        let urgent = self.rates.urgent(rank, now) * self.nodes;
+        let mut available = (1.0 - urgent / rate).clamp(MIN_AVAILABLE, 1.0);
+        let mut peers = peers_urgent + peers_same;
+        let mut queued_ms = (count(ahead.requests) + peers) / (rate * available) * 1000.0;
+        let starved = self.rates.starved(self.options.relief, now);
+        if starved >> rank & 1 == 1 {
+            // A part of the slots goes to starved ranks, whatever waits in others.
+            let part = 1.0 / (f64::from(self.options.relief_interval) + 1.0);
+            let urgent: usize = (0..rank).map(|rank| self.queue.load(rank).0).sum();
+            let same = count(ahead.requests - urgent) + peers_same;
+            let relief_ms = same / (rate * part) * 1000.0;
+            if relief_ms < queued_ms {
+                (queued_ms, available, peers) = (relief_ms, part, peers_same);
+            }
+        }
         // Time until this entry learns of the next slot that becomes free.
-        let next_ms = self.mean_us.get() / rate * 1000.0;
+        let next_ms = 1000.0 / rate;
         let digest_ms = float(self.options.max_yield.0);
         let notice_ms = (next_ms * self.nodes).min(digest_ms.max(next_ms));
         let head = self.queue.iter().next().map(|(_, queued)| {
@@ -249,8 +252,7 @@
             first: request.first,
             left: Millis(self.latest(request).since(now)),
             ahead: ahead.requests,
-            ahead_us: ahead.work,
-            peers_us,
+            peers,
             capacity: self.capacity,
             rate,
             available,
@@ -286,7 +288,7 @@
         if !is_held && refused.is_none() {
             self.rates.offered(&request.org, rank, request.work_us, now);
         }
-        self.mean_us.add(float(request.work_us));
+        self.expected_ms.add(float(request.work_us) / 1000.0);
         self.peers.expire(self.options.peer_ttl, now);
         let (estimate, position) = self.estimate(&request, turn, now);
         // Without any endpoint the selection tells why.
@@ -305,7 +307,7 @@
         if estimate.wait.plus(estimate.first.0) > estimate.left {
             return self.refuse(&request, estimate, (position, since), "full");
         }
-        if !self.has_room(&request) && !self.displace_after(position) {
+        if !self.has_room() && !self.displace_after(position) {
             return self.refuse(&request, estimate, (position, since), "queue_full");
         }
         let weight = self.rates.weight(&request.org, now);
@@ -348,10 +350,9 @@
         }
     }
 
-    fn has_room(&self, request: &WaitRequest) -> bool {
-        let queued: u64 = (0..RANKS).map(|rank| self.queue.load(rank).1).sum();
-        let work_ms = float(queued + request.work_us) / self.rate().max(1.0) * 1000.0;
-        self.queue.len() < self.options.max_requests && work_ms <= float(self.options.max_work.0)
+    fn has_room(&self) -> bool {
+        let wait_ms = count(self.queue.len()) / self.rate() * 1000.0;
+        self.queue.len() < self.options.max_requests && wait_ms <= float(self.options.max_wait.0)
     }
 
     /// Removes the request that is served last, if it is served after `position`.
@@ -376,12 +377,17 @@
             return;
         }
         self.set_queue_rate();
+        let starved = self.rates.starved(self.options.relief, now);
         for position in self.queue.late_requests(Position::FIRST, 0, now) {
-            if let Some(queued) = self.queue.remove(position) {
+            // Starved ranks do not wait for all others.
+            let is_starved = starved >> position.rank() & 1 == 1;
+            if is_starved && !self.is_late(position, now) {
+                continue;
+            }
+            if let Some(queued) = self.queue.shed(position) {
                 self.refuse_queued(position, queued, "full", now, ended);
             }
         }
-        let starved = self.rates.starved(self.options.relief, now);
         let guard = StarvationGuard {
             threshold: self.options.starved,
             interval: self.options.relief_interval,
@@ -400,11 +406,23 @@
         }
     }
 
-    /// Sets the rate at which this entry's queue is served: its part of the waiting work.
+    /// Returns whether a queued request would be late if it were sent now.
+    fn is_late(&self, position: Position, now: Millis) -> bool {
+        let queued = self.queue.get(position);
+        queued.is_some_and(|queued| {
+            let request = &queued.request;
+            now.plus(request.request.first.0) > request.latest
+        })
+    }
+
+    /// Sets the rate at which work leaves this entry's queue: its part of the slots that become free
+    /// multiplied by the mean work of its requests.
     fn set_queue_rate(&mut self) {
-        let own: u64 = (0..RANKS).map(|rank| self.queue.load(rank).1).sum();
-        let own = float(own).max(1.0);
-        self.queue.rate = self.rate() * own / (own + self.peers.total_us());
+        let loads = (0..RANKS).map(|rank| self.queue.load(rank));
+        let (own, work) = loads.fold((0, 0), |sum, load| (sum.0 + load.0, sum.1 + load.1));
+        let own = count(own).max(1.0);
+        let part = own / (own + self.peers.requests(RANKS - 1));
+        self.queue.rate = self.rate() * part * float(work) / own;
     }
 
     /// Refuses a request that was removed from the queue.
@@ -461,14 +479,10 @@
         self.rates.served(rank, -1.0, now);
     }
 
-    pub(super) fn ended(&mut self, work_us: u64, held: Millis) {
+    pub(super) fn ended(&mut self, held: Millis) {
         self.capacity.free += 1.0;
         self.budget += 1.0;
-        let held_ms = float(held.0);
-        self.hold_ms.add(held_ms);
-        // A bounded ratio, so that one stalled request does not outweigh the others.
-        let ratio = (held_ms * 1000.0 / float(work_us.max(1))).clamp(MIN_SPEED, MAX_SPEED);
-        self.slowness.add(ratio);
+        self.held_ms.add(float(held.0));
     }
 
     pub(super) fn stated(&self, service: &Service) -> Option<StatedPressure> {
@@ -525,6 +539,10 @@
     value as f64
 }
 
+fn count(value: usize) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
 fn millis(value: f64) -> Millis {
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/cumin-serve/src/waiting.rs
+++ b/crates/cumin-serve/src/waiting.rs
@@ -35,7 +35,6 @@
 struct Waiter {
     service: Service,
     rank: u8,
-    work_us: u64,
     end: oneshot::Sender<WaitResult>,
 }
 
@@ -126,7 +125,6 @@
     node: Rc<Node>,
     service: Service,
     rank: u8,
-    work_us: u64,
     sent: Cell<Option<Millis>>,
 }
 
@@ -148,7 +146,7 @@
         match self.sent.get() {
             Some(sent) => {
                 let held = Millis(now.since(sent));
-                state.ended(&self.service, self.work_us, held);
+                state.ended(&self.service, held);
             }
             None => state.unused(&self.service, self.rank, now),
         }
@@ -202,7 +200,6 @@
                     node: node.clone(),
                     service: waiter.service,
                     rank: waiter.rank,
-                    work_us: waiter.work_us,
                     sent: Cell::new(None),
                 };
                 Ok((slot, turn))
@@ -258,7 +255,7 @@
         self.slot = None;
         observe(node, self.service, now);
         let request = self.wait_request(need, now);
-        let (rank, work_us) = (request.rank, request.work_us);
+        let rank = request.rank;
         let decision = {
             let mut state = room.state.borrow_mut();
             state.decide(self.service, request, turn, now)
@@ -269,7 +266,6 @@
                     node: node.clone(),
                     service: self.service.clone(),
                     rank,
-                    work_us,
                     sent: Cell::new(None),
                 });
                 return Ok(turn);
@@ -299,7 +295,6 @@
         let waiter = Waiter {
             service: self.service.clone(),
             rank,
-            work_us,
             end,
         };
         room.waiters.borrow_mut().insert(number, waiter);
@@ -362,7 +357,7 @@
         let org = key.and_then(|key| table.org(key));
         let identity = |org: &cumin_entry::document::OrgSpec| (org.name.clone(), org.rank);
         if org.is_none() || org.map(identity) != self.org.map(identity) {
-            return Err((DEFAULT_RETRY_AFTER, "no_key"));
+            return Err((DEFAULT_RETRY_AFTER, "key_removed"));
         }
         let bounds = node.bounds.get();
         let age_ms = node.documents.freshness.get().age_ms(node.now());
