Keep slots for the most urgent rank over a digest interval

Prompts with a late first event were refused more often than others, since short ones waited for as long as they had time, and the most urgent rank had to wait for the next slot that its own entry frees. The wait of all is now bounded by the usual time to the first event of the rank, and up to 3 of 100 slots are kept for more urgent ranks.

--- a/crates/cumin-entry/src/waiting/rates.rs
+++ b/crates/cumin-entry/src/waiting/rates.rs
@@ -66,12 +66,40 @@
     }
 }
 
+/// Part of the requests of a rank whose time to the first event is at most the usual one.
+const USUAL_PART: f64 = 0.97;
+
+/// Step of the estimate of the usual time, as part of its value.
+const USUAL_STEP: f64 = 0.3;
+
+/// A quantile of values, estimated in steps.
+#[derive(Clone, Copy, Debug, Default)]
+struct Quantile {
+    value: f64,
+}
+
+impl Quantile {
+    fn add(&mut self, value: f64) {
+        let step = if value > self.value {
+            USUAL_PART
+        } else {
+            USUAL_PART - 1.0
+        };
+        self.value = (self.value * (1.0 + USUAL_STEP * step)).max(1.0);
+        if value < self.value && step > 0.0 {
+            self.value = value;
+        }
+    }
+}
+
 /// Counts of one rank.
 #[derive(Clone, Copy, Debug, Default)]
 struct RankRates {
     offered: Decayed,
     served: Decayed,
     arrivals: Decayed,
+    /// Time to the first event that almost all requests have.
+    first: Quantile,
 }
 
 /// Counts of one service at one entry.
@@ -102,6 +130,14 @@
         self.all.add(work, USUAL_SPAN_MS, now);
     }
 
+    /// Returns the time to the first event that almost all requests of a rank have, if `first` is that
+    /// of a new one.
+    pub(super) fn usual_first(&mut self, rank: usize, first: Millis) -> Millis {
+        let quantile = &mut self.ranks[rank].first;
+        quantile.add(super::service::float(first.0));
+        super::service::millis(quantile.value)
+    }
+
     /// Counts a request that may be sent; `count` is negative for one that was not.
     pub(super) fn served(&mut self, rank: usize, count: f64, now: Millis) {
         self.ranks[rank].served.add(count, RANK_SPAN_MS, now);
--- a/crates/cumin-entry/src/waiting/service.rs
+++ b/crates/cumin-entry/src/waiting/service.rs
@@ -23,12 +23,12 @@
 /// Assumed time that a request occupies a slot, before any was estimated.
 const DEFAULT_HOLD_MS: f64 = 2000.0;
 
-/// Slots are kept for the more urgent requests that arrive in this time, in seconds: requests are
-/// released at least this often.
-const RESERVE_SECONDS: f64 = 0.025;
+/// Slots are kept for the more urgent requests that arrive in this time, in seconds: entries learn of
+/// each other's requests within a digest interval.
+const RESERVE_SECONDS: f64 = 0.25;
 
 /// Maximum part of the slots that is kept for them.
-const MAX_RESERVE: f64 = 0.05;
+const MAX_RESERVE: f64 = 0.03;
 
 /// Difference of the shares served above which slots are kept for a more urgent rank. Callers
 /// accept 0.05.
@@ -39,6 +39,10 @@
 const INVERSION_STEP: f64 = 0.2;
 const MAX_INVERSION: f64 = 0.2;
 
+/// Largest part of the time left, in tenths, that is kept for the prompt whatever the prompts of
+/// others take.
+const MAX_FIRST_TENTHS: u64 = 6;
+
 /// Free slots that an entry without waiting requests is assumed to need for those that arrive until
 /// the next digests, in requests.
 const IDLE_NEED: f64 = 0.3;
@@ -186,7 +190,11 @@
         if unused < 1.0 + reserve {
             return false;
         }
-        let is_shared = self.nodes > 1.0 && !self.is_plenty();
+        // Slots that are kept for the most urgent rank are free for whichever entry needs one first.
+        let is_kept = self.reserve(RANKS - 1, now) > 0.0
+            && self.rates.urgent(rank, now) == 0.0
+            && self.peers.requests(rank) == 0.0;
+        let is_shared = self.nodes > 1.0 && !self.is_plenty() && !is_kept;
         if is_shared && self.budget < 1.0 {
             return false;
         }
@@ -304,7 +312,11 @@
             self.allow(rank, now);
             return WaitDecision::Send { turn: position };
         }
-        if estimate.wait.plus(estimate.first.0) > estimate.left {
+        // If short prompts could wait for as long as they have time, the queue would be too long for
+        // large ones, which would all be refused.
+        let most = Millis(estimate.left.0 * MAX_FIRST_TENTHS / 10);
+        let usual = self.rates.usual_first(rank, estimate.first).min(most);
+        if estimate.wait.plus(estimate.first.max(usual).0) > estimate.left {
             return self.refuse(&request, estimate, (position, since), "full");
         }
         if !self.has_room() && !self.displace_after(position) {
@@ -543,7 +555,7 @@
     f64::from(u32::try_from(value).unwrap_or(u32::MAX))
 }
 
-fn millis(value: f64) -> Millis {
+pub(super) fn millis(value: f64) -> Millis {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
--- a/crates/cumin-entry/tests/all/waiting.rs
+++ b/crates/cumin-entry/tests/all/waiting.rs
@@ -13,6 +13,9 @@
 /// Part of the share of all requests that each rank and organisation gets at least.
 const MIN_PART: f64 = 0.25;
 
+/// Part of the share of a rank that its largest prompts get at least.
+const MIN_LARGE: f64 = 0.5;
+
 /// Requests below which a share says little.
 const MIN_REQUESTS: u32 = 100;
 
@@ -32,6 +35,11 @@
         if count.share() < all * MIN_PART {
             return Err(format!("rank {rank}: {:.3} of {all:.3}", count.share()));
         }
+        let large = outcome.large[rank];
+        if large.offered >= MIN_REQUESTS && large.share() < count.share() * MIN_LARGE {
+            let (large, whole) = (large.share(), count.share());
+            return Err(format!("rank {rank}: large {large:.3} of {whole:.3}"));
+        }
     }
     for (org, count) in outcome.orgs.iter().enumerate() {
         if count.offered >= MIN_REQUESTS && count.share() < all * MIN_PART {
--- a/crates/cumin-entry/tests/all/waiting/sim.rs
+++ b/crates/cumin-entry/tests/all/waiting/sim.rs
@@ -34,6 +34,12 @@
     (136.0, 1400, 1200, 5000),
 ];
 
+/// Time to the first event from which a prompt counts as large, in milliseconds.
+const LARGE_FIRST: u64 = 200;
+
+/// Time until engines notice that a connection is closed, in milliseconds.
+const NOTICE: u64 = 200;
+
 /// Slots of all engines, and the part of them that the usual load occupies.
 const SLOTS: u32 = 640;
 
@@ -97,6 +103,8 @@
     pub all: Count,
     pub ranks: [Count; 3],
     pub orgs: [Count; ORGS],
+    /// Requests of each rank with large prompts, about a tenth.
+    pub large: [Count; 3],
     /// Mean part of the slots that were in use.
     pub used: f64,
     /// Requests that found no free slot at the engines.
@@ -114,7 +122,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let ranks = self.ranks.iter().enumerate();
         for (rank, count) in ranks {
-            writeln!(f, "rank {rank}: {:.3} {count:?}", count.share())?;
+            let large = self.large[rank].share();
+            writeln!(
+                f,
+                "rank {rank}: {:.3} large {large:.3} {count:?}",
+                count.share()
+            )?;
         }
         let shares = self
             .orgs
@@ -216,9 +229,10 @@
                     break;
                 }
                 self.events.pop();
-                match self.contents.remove(&number).unwrap() {
-                    Event::Arrival(job) => self.arrive(job, now),
-                    Event::End(job, sent) => self.end(&job, sent, now),
+                match self.contents.remove(&number) {
+                    Some(Event::Arrival(job)) => self.arrive(job, now),
+                    Some(Event::End(job, sent)) => self.end(&job, sent, now),
+                    None => {}
                 }
             }
             for index in 0..self.entries.len() {
@@ -233,7 +247,7 @@
             if self.options.restarts && now == next_restart {
                 next_restart += 1500;
                 let index = self.rng.random_range(0..self.entries.len());
-                self.restart(index);
+                self.restart(index, now);
             }
             self.start_backlog(now);
             self.usage += f64::from(self.busy) / f64::from(SLOTS);
@@ -299,7 +313,11 @@
             org,
             rank,
             hold,
-            first: self.rng.random_range(30..=150),
+            first: if self.rng.random_bool(0.1) {
+                self.rng.random_range(LARGE_FIRST..=300)
+            } else {
+                self.rng.random_range(30..=150)
+            },
             estimate_us: hold * 10 * error,
             arrived: now,
             fingerprint: Fingerprint::new("", "", &body),
@@ -341,6 +359,7 @@
             self.outcome.all.offered += 1;
             self.outcome.ranks[job.rank].offered += 1;
             self.outcome.orgs[job.org].offered += 1;
+            self.outcome.large[job.rank].offered += u32::from(job.first >= LARGE_FIRST);
         }
         let (_, _, goal, deadline) = KINDS[job.rank];
         let request = WaitRequest {
@@ -398,6 +417,7 @@
                 count.served += 1;
                 count.late += u32::from(late);
             }
+            self.outcome.large[job.rank].served += u32::from(job.first >= LARGE_FIRST);
             self.push(now + job.hold, Event::End(job, sent));
         }
     }
@@ -441,11 +461,21 @@
         }
     }
 
-    /// Starts an entry again: its waiting requests have not run, and its running ones go on until
-    /// the engines notice.
-    fn restart(&mut self, index: usize) {
+    /// Starts an entry again: its waiting requests have not run, and engines end its running ones
+    /// when they notice that their connections are closed.
+    fn restart(&mut self, index: usize, now: u64) {
         let life = self.entries[index].life + 1;
         self.entries[index] = entry(index, life);
+        let is_its = |event: &Event| matches!(event, Event::End(job, _) if job.entry == index);
+        let contents = self.contents.iter();
+        let numbers = contents.filter(|(_, event)| is_its(event));
+        let mut numbers: Vec<u64> = numbers.map(|(number, _)| *number).collect();
+        numbers.sort_unstable();
+        for number in numbers {
+            if let Some(event) = self.contents.remove(&number) {
+                self.push(now + NOTICE, event);
+            }
+        }
     }
 }
 
