Prefer the largest prompts of a rank while few of them are served

At 66 simulated entries, 3 times the load and 0.3 lost digests, large prompts of the most urgent rank were served in 0.361 of all cases where the whole rank had 0.775: their first event comes late, so they have the least time to wait. While their share is below 0.75 of the rank's they now take its first turn.

--- a/crates/cumin-admit/src/fair.rs
+++ b/crates/cumin-admit/src/fair.rs
@@ -44,6 +44,16 @@
         arrival: 0,
     };
 
+    /// Returns the first turn of a rank.
+    #[must_use]
+    pub const fn first_of(rank: usize) -> Self {
+        Self {
+            rank,
+            tag: 0,
+            arrival: 0,
+        }
+    }
+
     /// Returns the rank.
     #[must_use]
     pub const fn rank(self) -> usize {
--- a/crates/cumin-entry/src/waiting.rs
+++ b/crates/cumin-entry/src/waiting.rs
@@ -119,6 +119,8 @@
     request: WaitRequest,
     /// Time by which the first event must be expected.
     latest: Millis,
+    /// Whether it is one of the largest of its rank.
+    is_large: bool,
 }
 
 impl Queueable for Item {
--- a/crates/cumin-entry/src/waiting/rates.rs
+++ b/crates/cumin-entry/src/waiting/rates.rs
@@ -69,6 +69,12 @@
 /// Part of the requests of a rank whose time to the first event is at most the usual one.
 const USUAL_PART: f64 = 0.97;
 
+/// Part of the requests of a rank that are not among the largest.
+const LARGE_PART: f64 = 0.9;
+
+/// Part of the share of a rank below which its largest requests are preferred. Callers need a half.
+const LARGE_RELIEF: f64 = 0.75;
+
 /// Step of the estimate of the usual time, as part of its value.
 const USUAL_STEP: f64 = 0.3;
 
@@ -79,12 +85,8 @@
 }
 
 impl Quantile {
-    fn add(&mut self, value: f64) {
-        let step = if value > self.value {
-            USUAL_PART
-        } else {
-            USUAL_PART - 1.0
-        };
+    fn add(&mut self, value: f64, part: f64) {
+        let step = if value > self.value { part } else { part - 1.0 };
         self.value = (self.value * (1.0 + USUAL_STEP * step)).max(1.0);
         if value < self.value && step > 0.0 {
             self.value = value;
@@ -100,6 +102,10 @@
     arrivals: Decayed,
     /// Time to the first event that almost all requests have.
     first: Quantile,
+    /// Time to the first event from which a prompt is one of the largest tenth.
+    large: Quantile,
+    large_offered: Decayed,
+    large_served: Decayed,
 }
 
 /// Counts of one service at one entry.
@@ -134,10 +140,44 @@
     /// of a new one.
     pub(super) fn usual_first(&mut self, rank: usize, first: Millis) -> Millis {
         let quantile = &mut self.ranks[rank].first;
-        quantile.add(super::service::float(first.0));
+        quantile.add(super::service::float(first.0), USUAL_PART);
         super::service::millis(quantile.value)
     }
 
+    /// Returns whether a request is one of the largest of its rank, and counts it if it is new.
+    pub(super) fn is_large(
+        &mut self,
+        rank: usize,
+        first: Millis,
+        is_new: bool,
+        now: Millis,
+    ) -> bool {
+        let value = super::service::float(first.0);
+        let rates = &mut self.ranks[rank];
+        if is_new {
+            rates.large.add(value, LARGE_PART);
+        }
+        let is_large = value >= rates.large.value;
+        if is_large && is_new {
+            rates.large_offered.add(1.0, RANK_SPAN_MS, now);
+        }
+        is_large
+    }
+
+    /// Counts one of the largest requests that may be sent.
+    pub(super) fn large_served(&mut self, rank: usize, now: Millis) {
+        self.ranks[rank].large_served.add(1.0, RANK_SPAN_MS, now);
+    }
+
+    /// Returns whether too few of the largest requests of a rank are served.
+    pub(super) fn prefers_large(&self, rank: usize, now: Millis) -> bool {
+        let rates = &self.ranks[rank];
+        let offered = rates.large_offered.get(RANK_SPAN_MS, now);
+        let share = rates.large_served.get(RANK_SPAN_MS, now) / offered.max(1.0);
+        let whole = self.share(rank, now);
+        whole.is_some_and(|whole| share < whole * LARGE_RELIEF)
+    }
+
     /// Counts a request that may be sent; `count` is negative for one that was not.
     pub(super) fn served(&mut self, rank: usize, count: f64, now: Millis) {
         self.ranks[rank].served.add(count, RANK_SPAN_MS, now);
--- a/crates/cumin-entry/src/waiting/service.rs
+++ b/crates/cumin-entry/src/waiting/service.rs
@@ -213,7 +213,10 @@
     }
 
     /// Allows a request to be sent.
-    fn allow(&mut self, rank: usize, now: Millis) {
+    fn allow(&mut self, rank: usize, is_large: bool, now: Millis) {
+        if is_large {
+            self.rates.large_served(rank, now);
+        }
         self.allowed += 1.0;
         self.budget -= 1.0;
         self.rates.served(rank, 1.0, now);
@@ -231,6 +234,11 @@
         let (peers_urgent, peers_same) =
             self.peers
                 .ahead(&request.org, rank, ahead.work + request.work_us);
+        let peers_same = if turn == Some(Position::first_of(rank)) {
+            0.0
+        } else {
+            peers_same
+        };
         let rate = self.rate();
         let urgent = self.rates.urgent(rank, now) * self.nodes;
         let mut available = (1.0 - urgent / rate).clamp(MIN_AVAILABLE, 1.0);
@@ -247,10 +255,10 @@
                 (queued_ms, available, peers) = (relief_ms, part, peers_same);
             }
         }
-        // Time until this entry learns of the next slot that becomes free.
+        // Time until this entry learns of the next slot that becomes free, at the median.
         let next_ms = 1000.0 / rate;
         let digest_ms = float(self.options.max_yield.0);
-        let notice_ms = (next_ms * self.nodes).min(digest_ms.max(next_ms));
+        let notice_ms = (next_ms * self.nodes / 2.0).min(digest_ms.max(next_ms));
         let head = self.queue.iter().next().map(|(_, queued)| {
             let head = &queued.request.request;
             (head.rank, head.org.clone())
@@ -288,12 +296,21 @@
         let is_held = turn.is_some();
         let refused = self.turns.remove(&request.fingerprint);
         let refused = refused.filter(|(_, at)| now.since(*at) < self.options.turn_ttl.0);
+        let is_new = !is_held && refused.is_none();
+        let is_large = self.rates.is_large(rank, request.first, is_new, now);
         let (turn, since) = match (turn, refused) {
             (Some(turn), _) => (Some(turn), now),
             (None, Some((turn, since))) if turn.rank() == rank => (Some(turn), since),
             _ => (None, now),
         };
-        if !is_held && refused.is_none() {
+        // The largest requests have the least time to wait.
+        let is_preferred = is_large && self.rates.prefers_large(rank, now);
+        let turn = if is_preferred {
+            Some(Position::first_of(rank))
+        } else {
+            turn
+        };
+        if is_new {
             self.rates.offered(&request.org, rank, request.work_us, now);
         }
         self.expected_ms.add(float(request.work_us) / 1000.0);
@@ -309,7 +326,7 @@
             if self.queue.is_empty() {
                 self.queue.reset_fairness();
             }
-            self.allow(rank, now);
+            self.allow(rank, is_large, now);
             return WaitDecision::Send { turn: position };
         }
         // If short prompts could wait for as long as they have time, the queue would be too long for
@@ -328,6 +345,7 @@
             number,
             request,
             latest,
+            is_large,
         };
         let position = self.queue.push_at_turn(item, weight, turn, since);
         self.positions.insert(number, position);
@@ -413,7 +431,7 @@
                 break;
             };
             let turn = self.positions.remove(&request.number).unwrap_or_default();
-            self.allow(rank, now);
+            self.allow(rank, request.is_large, now);
             ended.push((request.number, WaitEnd::Send { turn }));
         }
     }
--- a/crates/cumin-entry/tests/all/waiting.rs
+++ b/crates/cumin-entry/tests/all/waiting.rs
@@ -149,7 +149,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 16, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 16, max_shrink_iters: 0, ..ProptestConfig::default() })]
 
     /// Under any load, with lost digests and restarts, a more urgent rank is served at least as
     /// often as a less urgent one, and no rank or organisation is starved.
