--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -22,6 +22,7 @@
 //!   unanswered requests and was silent for longer than expected.
 
 mod cache;
+mod capacity;
 mod choice;
 mod cost;
 mod digest;
@@ -68,6 +69,18 @@
     pub retry: bool,
     /// Whether it may run once only.
     pub once: bool,
+    /// Room that an endpoint must have for it.
+    pub room: Room,
+}
+
+/// Room that an endpoint must have for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Room {
+    /// Any; the request may wait at the endpoint.
+    #[default]
+    Any,
+    /// A free slot.
+    FreeSlot,
 }
 
 /// Settings of [`Selector`].
--- a/crates/cumin-entry/src/selection/choice.rs
+++ b/crates/cumin-entry/src/selection/choice.rs
@@ -3,7 +3,7 @@
 use cumin_types::{EndpointName, Millis, Service, score};
 
 use super::cost::Rating;
-use super::{Need, Selector, millis, to_millis};
+use super::{Need, Room, Selector, millis, to_millis};
 use crate::fleet::{Endpoint, Fleet};
 
 /// Outcome of a selection.
@@ -51,6 +51,7 @@
         let candidates: Vec<&Endpoint> = fleet
             .usable(service, now)
             .filter(|endpoint| !avoid.contains(&endpoint.name))
+            .filter(|endpoint| need.room == Room::Any || self.free_slots(endpoint, now) >= 1.0)
             .collect();
         let all_cooling = candidates
             .iter()
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod stop;
 mod suspects;
 mod usage;
+mod waiting;
 
 use std::net::SocketAddr;
 
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -18,6 +18,7 @@
 use cumin_entry::selection::{Placement, SentPart, StatedSpeed};
 use cumin_entry::suspects::StatedPart;
 use cumin_entry::usage;
+use cumin_entry::waiting::StatedPressure;
 use cumin_types::{Millis, score};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,7 @@
 use crate::limit;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
+use crate::waiting;
 
 /// Time between two digests, multiplied by the number of nodes. The loads by which endpoints are
 /// selected are up to this old; until the maximum is reached, a node sends fewer than 100 messages
@@ -179,6 +181,7 @@
                 .selector
                 .borrow()
                 .own_placement(self.speeds.clone(), node.now()),
+            pressure: node.waiting.stated(),
         };
         match message.encode() {
             Ok(payload) => Some(payload),
@@ -226,6 +229,7 @@
     /// Usage windows that the digest states.
     span: Option<usage::StatedSpan>,
     placement: Placement,
+    pressure: Vec<StatedPressure>,
 }
 
 impl Message {
@@ -238,7 +242,8 @@
         let payload = postcard::to_extend(&self.leaving, payload)?;
         let payload = postcard::to_extend(&self.era, payload)?;
         let payload = postcard::to_extend(&self.span, payload)?;
-        postcard::to_extend(&self.placement, payload)
+        let payload = postcard::to_extend(&self.placement, payload)?;
+        postcard::to_extend(&self.pressure, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -251,7 +256,8 @@
         let (leaving, rest) = take_or_default(rest)?;
         let (era, rest) = take_or_default(rest)?;
         let (span, rest) = take_or_default(rest)?;
-        let (placement, _) = take_or_default(rest)?;
+        let (placement, rest) = take_or_default(rest)?;
+        let (pressure, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -262,6 +268,7 @@
             era,
             span,
             placement,
+            pressure,
         })
     }
 }
@@ -414,6 +421,7 @@
         era: stated_era,
         span,
         placement,
+        pressure,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -470,6 +478,8 @@
     selector.merge_peer(name, &digest.loads, &digest.sent, max_memory, now);
     selector.merge_fits(name, &extension.fits, now);
     selector.merge_placement(name, &digest.loads, placement, now);
+    drop(selector);
+    node.waiting.merge_peer(&digest.node, pressure, now);
 }
 
 /// Announces this node in the store, then lists the other nodes periodically; does not return.
@@ -575,11 +585,12 @@
     let quarantined = suspects.quarantined().len();
     metrics.quarantined.set(number(quarantined));
     metrics.limited.set(number(node.limits.borrow().count()));
-    let waiting = node.limits.borrow().waiting(now);
-    metrics.waiting.set(number(waiting));
+    let paused = node.limits.borrow().waiting(now);
+    metrics.waiting.set(number(paused));
     let leaving = node.fleet.borrow().leaving_count();
     metrics.leaving.set(number(leaving));
     let memory = node.memory.borrow();
     metrics.held_bytes.set(number(memory.held()));
     metrics.held_limit.set(number(memory.total()));
+    waiting::update_gauges(node);
 }
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -24,3 +24,4 @@
 mod unframed;
 mod unnamed_requests;
 mod usage_reports;
+mod waiting;
