Tell peers at once of large prompts; bound what is late in a replay

Most late streams waited behind a large prompt that another node had sent since its last digest. A node now sends its digest early, at least 100 ms after the last one, when it has sent a prompt of 125 ms or more to prefill.

--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -147,8 +147,14 @@
     peer_rates: BTreeMap<String, (BTreeMap<Service, f64>, Millis)>,
     /// Last endpoint whose speed was stated.
     stated_speed: Option<EndpointName>,
+    /// Whether peers should learn of a sent prompt before the next digest is due.
+    is_urgent: bool,
 }
 
+/// Prefill time of a prompt of which peers learn at once. Requests that come after it wait for it, and
+/// for most of the time between two digests, peers would take the endpoint for idle.
+const URGENT_PREFILL_MS: f64 = 125.0;
+
 /// Maximum number of parts that wait for the next digest.
 const MAX_SENT_PARTS: usize = 64;
 
@@ -172,6 +178,7 @@
             plain: BTreeMap::new(),
             peer_rates: BTreeMap::new(),
             stated_speed: None,
+            is_urgent: false,
         }
     }
 
@@ -267,6 +274,7 @@
             },
         );
         if need.engine {
+            self.is_urgent |= prefill_tokens * pace.prefill_ms >= URGENT_PREFILL_MS;
             let factor = self.time_factor(endpoint);
             let work = (prefill_tokens * factor, output * factor);
             self.add_demand(&endpoint.service, work.0, work.1, now);
--- a/crates/cumin-entry/src/selection/digest.rs
+++ b/crates/cumin-entry/src/selection/digest.rs
@@ -49,6 +49,7 @@
             reason = "a cast from float saturates"
         )]
         let output = loaded.map(|load| load.own_output() as u32).collect();
+        self.is_urgent = false;
         Placement {
             output,
             speeds: self.next_speeds(now),
@@ -88,6 +89,12 @@
             .collect()
     }
 
+    /// Returns whether a digest should be sent before it is due.
+    #[must_use]
+    pub const fn is_urgent(&self) -> bool {
+        self.is_urgent
+    }
+
     /// Returns the parts sent since the last call, for the next digest.
     pub fn take_sent_parts(&mut self) -> Vec<SentPart> {
         std::mem::take(&mut self.sent_parts)
--- a/crates/cumin-entry/src/selection/load.rs
+++ b/crates/cumin-entry/src/selection/load.rs
@@ -22,6 +22,11 @@
 /// Output tokens that a request has left on average if its peer does not state them.
 const USUAL_OUTPUT: f64 = 64.0;
 
+/// Part of the work of a plain service's endpoint that is assumed to have been done since a peer
+/// stated its requests: half of what the endpoint can do. Replays were later with all of it, because
+/// an endpoint in a slow spell seems idle, and with none of it, when requests are short.
+const DRAINED_SHARE: f64 = 0.5;
+
 #[derive(Clone, Debug)]
 pub(super) struct ActiveAttempt {
     pub(super) service: Service,
@@ -204,7 +209,7 @@
         let (total, _) = self.total(now);
         let drain_ms = whole_ms * (total / slots).max(1.0);
         let left = |peer: &PeerLoad| {
-            let age_ms = millis(Millis(now.since(peer.at)));
+            let age_ms = millis(Millis(now.since(peer.at))) * DRAINED_SHARE;
             f64::from(peer.load.running) * (1.0 - age_ms / drain_ms).max(0.0)
         };
         f64::from(self.own().running) + self.fresh_peers(now).map(left).sum::<f64>()
--- a/crates/cumin-entry/tests/all/placement.rs
+++ b/crates/cumin-entry/tests/all/placement.rs
@@ -17,12 +17,13 @@
 const WARM_UP_MS: u64 = 4000;
 const END_MS: u64 = 12_000;
 
-/// Mean length of a spell in which an endpoint is slow, and the factor on its times.
-const SPELL_MS: u32 = 600;
-const SPELL_FACTOR: f64 = 2.5;
+/// Mean length of a spell in which an endpoint is slow, and of the time between two of them: 15% of
+/// the endpoints are slow at any moment.
+const SPELL_MS: u64 = 600;
+const SOUND_MS: u64 = 3400;
 
-/// Share of the endpoints that are slow at any moment.
-const SPELL_SHARE: f64 = 0.15;
+/// Factor on the times of an endpoint during a spell.
+const SPELL_FACTOR: f64 = 2.5;
 
 /// Tokens in an event.
 const EVENT_TOKENS: f64 = 4.0;
@@ -55,6 +56,8 @@
     name: EndpointName,
     speed: f64,
     spell: bool,
+    /// Time at which a spell begins or ends.
+    changes: u64,
     jobs: Vec<Job>,
 }
 
@@ -94,7 +97,7 @@
             let token_ms = 4.0 + 0.1 * f64::from(u32::try_from(decoding).expect("few"));
             for job in self.jobs.iter_mut().take(slots) {
                 if let Some(unsent) = &mut job.unsent {
-                    let tokens = budget.min(1.0) / token_ms;
+                    let tokens = budget / token_ms;
                     *unsent += tokens;
                     job.rest -= tokens;
                     if *unsent >= EVENT_TOKENS && job.rest > 0.0 {
@@ -184,21 +187,22 @@
         .map(|n| Server {
             name: name(n),
             speed: site.speeds[n],
-            spell: rng.random_bool(SPELL_SHARE),
+            spell: false,
+            changes: rng.random_range(0..SOUND_MS),
             jobs: Vec::new(),
         })
         .collect();
     let mut nodes: Vec<Selector> = (0..NODES).map(selector).collect();
+    let mut sent_at = vec![0; NODES];
     let (mut asked, mut late) = (0_u32, 0_u32);
     for now in 0..END_MS {
         let counts = now >= WARM_UP_MS;
         for server in &mut servers {
-            let share = if server.spell {
-                1.0
-            } else {
-                SPELL_SHARE / (1.0 - SPELL_SHARE)
-            };
-            server.spell ^= rng.random_bool(share / f64::from(SPELL_MS));
+            if now >= server.changes {
+                server.spell = !server.spell;
+                let mean = if server.spell { SPELL_MS } else { SOUND_MS };
+                server.changes = now + rng.random_range(mean / 2..mean * 3 / 2);
+            }
             let name = server.name.clone();
             let slots = site.slots as usize;
             server.work(site.engine, slots, |job, event| {
@@ -223,7 +227,7 @@
                 }
             });
         }
-        gossip(&mut nodes, &fleet, now, &mut rng);
+        gossip(&mut nodes, &mut sent_at, &fleet, now, &mut rng);
         while rng.random_bool(site.per_second / (1000.0 + site.per_second)) {
             let node = rng.random_range(0..NODES);
             let prompt = (3000.0 * normal(&mut rng).exp()).clamp(500.0, 40_000.0);
@@ -291,9 +295,20 @@
 }
 
 /// Each node sends a digest every 250 ms, at a time of its own; one in ten is lost.
-fn gossip(nodes: &mut [Selector], fleet: &Fleet, now: u64, rng: &mut ChaCha8Rng) {
+fn gossip(
+    nodes: &mut [Selector],
+    sent_at: &mut [u64],
+    fleet: &Fleet,
+    now: u64,
+    rng: &mut ChaCha8Rng,
+) {
     let at = Millis(now);
-    for from in (0..NODES).filter(|n| (now + *n as u64 * 3).is_multiple_of(250)) {
+    for from in 0..NODES {
+        let is_due = (now + from as u64 * 3).is_multiple_of(250);
+        if !(is_due || nodes[from].is_urgent() && now >= sent_at[from] + 100) {
+            continue;
+        }
+        sent_at[from] = now;
         nodes[from].combine_fits(at);
         nodes[from].combine_speeds(fleet, at);
         let (loads, fits) = (nodes[from].own_loads(), nodes[from].own_fits(at));
@@ -309,6 +324,28 @@
     }
 }
 
+/// Late at most, in percent: the users' bound where there is capacity.
+const MAX_LATE: f64 = 4.0;
+
+/// Without speeds, remaining work and digests on large prompts, 7.9% of these streams were late.
+#[test]
+fn engines_in_time() {
+    let late = mean_late(&site_of_engines(), Policy::Selector);
+    assert!(late < MAX_LATE, "{late}% are late");
+}
+
+/// All requests must not go to the endpoint that was idle at the last digest.
+#[test]
+fn plain_in_time() {
+    let late = mean_late(&site_of_services(), Policy::Selector);
+    assert!(late < MAX_LATE, "{late}% are late");
+}
+
+/// Returns the mean share of late requests over two seeds, in percent.
+fn mean_late(site: &Site, policy: Policy) -> f64 {
+    (1..=2).map(|seed| replay(site, policy, seed)).sum::<f64>() / 2.0
+}
+
 #[test]
 #[ignore = "a measurement, run by hand"]
 fn shares() {
@@ -321,8 +358,8 @@
                 per_second: site.per_second * load,
                 ..site.clone()
             };
-            let mean = |policy| (1..=2).map(|seed| replay(&site, policy, seed)).sum::<f64>() / 2.0;
-            let (late, oracle) = (mean(Policy::Selector), mean(Policy::Oracle));
+            let late = mean_late(&site, Policy::Selector);
+            let oracle = mean_late(&site, Policy::Oracle);
             println!(
                 "{kind} {:.0}/s: late {late:.2}%, oracle {oracle:.2}%",
                 site.per_second
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -114,6 +114,9 @@
             estimate_ms,
             now,
         );
+        if node.selector.borrow().is_urgent() {
+            node.urgent_notify.notify_one();
+        }
         let flight = InFlight {
             node,
             endpoint: endpoint.name.clone(),
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -68,6 +68,7 @@
         tokio::select! {
             () = tokio::time::sleep(digest_interval(&node).duration()) => {}
             () = stop_begins(&node, sequence) => {}
+            () = large_prompt_sent(&node) => {}
         }
         sequence += 1;
         update_from_peers(&node);
@@ -191,6 +192,15 @@
     }
 }
 
+/// Completes when peers should learn of a prompt before the next digest is due, but not before the
+/// minimum time between two digests has passed.
+async fn large_prompt_sent(node: &Node) {
+    tokio::time::sleep(Millis(MIN_INTERVAL_MS).duration()).await;
+    while !node.selector.borrow().is_urgent() {
+        node.urgent_notify.notified().await;
+    }
+}
+
 fn own_digest(node: &Node, sequence: u64) -> Digest {
     let now = node.now();
     let mut selector = node.selector.borrow_mut();
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -137,6 +137,8 @@
     accepted: Cell<u64>,
     /// Notified at each stage of a graceful stop.
     pub(crate) stop_notify: Notify,
+    /// Notified when a digest should be sent before it is due.
+    pub(crate) urgent_notify: Notify,
     pub(crate) metrics: Metrics,
 }
 
@@ -184,6 +186,7 @@
             active: Cell::new(0),
             accepted: Cell::new(0),
             stop_notify: Notify::new(),
+            urgent_notify: Notify::new(),
             metrics: Metrics::default(),
             bounds: Cell::new(settings.bounds),
             settings,
