Merge placement: peers learn of large prompts early

The early digest goes to the groups of nodes one after the other within 100 ms in place of all at once, because a digest to all nodes occupies a slow link for longer than a request takes.

--- a/crates/cumin-entry/src/selection/digest.rs
+++ b/crates/cumin-entry/src/selection/digest.rs
@@ -42,7 +42,7 @@
     /// Returns what a digest states beside the loads, with these speeds; `own_loads` is in the same
     /// order.
     #[must_use]
-    pub fn own_placement(&self, speeds: Vec<StatedSpeed>, now: Millis) -> Placement {
+    pub fn own_placement(&mut self, speeds: Vec<StatedSpeed>, now: Millis) -> Placement {
         let loaded = self.loads.values().filter(|l| !l.attempts.is_empty());
         #[expect(
             clippy::cast_possible_truncation,
@@ -50,6 +50,7 @@
             reason = "a cast from float saturates"
         )]
         let output = loaded.map(|load| load.own_output() as u32).collect();
+        self.is_urgent = false;
         Placement {
             output,
             speeds,
@@ -89,6 +90,12 @@
             .collect()
     }
 
+    /// Returns whether a digest should be sent before it is due.
+    #[must_use]
+    pub const fn is_urgent(&self) -> bool {
+        self.is_urgent
+    }
+
     /// Returns the parts sent since the last call, for the next digest.
     pub fn take_sent_parts(&mut self) -> Vec<SentPart> {
         std::mem::take(&mut self.sent_parts)
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -79,28 +79,40 @@
     }
     let mut rounds = Rounds::new(&node);
     let mut at_once = false;
+    let mut hurried: usize = 0;
     'rounds: loop {
         update_from_peers(&node);
         crash::review(&node);
         let contacts = other_contacts(&node);
         let groups: Vec<&[IpAddr]> = contacts.chunks(GROUP_SIZE).collect();
+        let steps = (groups.len() as u64).max(1);
         let interval = digest_interval(&node);
-        let step = Millis((interval.0 / (groups.len() as u64).max(1)).max(1));
         rounds.begin(&node, groups.len());
         for (index, group) in groups.iter().enumerate() {
             if let Some(payload) = rounds.payload(&node, index) {
                 send_to(&node, &socket, &payload, group).await;
             }
-            if !at_once && stop_begins_within(&node, step, rounds.round).await {
-                at_once = true;
-                continue 'rounds;
+            if at_once {
+                continue;
+            }
+            let time = if hurried > 0 {
+                MIN_INTERVAL_MS.min(interval.0)
+            } else {
+                interval.0
+            };
+            hurried = hurried.saturating_sub(1);
+            let step = Millis((time / steps).max(1));
+            match wait(&node, step, rounds.round, hurried == 0).await {
+                Wake::Due => {}
+                Wake::LargePrompt => hurried = groups.len(),
+                Wake::Stop => {
+                    at_once = true;
+                    continue 'rounds;
+                }
             }
         }
-        if (at_once || groups.is_empty()) && stop_begins_within(&node, interval, rounds.round).await
-        {
-            continue 'rounds;
-        }
-        at_once = false;
+        let is_pause = at_once || groups.is_empty();
+        at_once = is_pause && wait(&node, interval, rounds.round, false).await == Wake::Stop;
     }
 }
 
@@ -179,7 +191,7 @@
             span: Some(span),
             placement: node
                 .selector
-                .borrow()
+                .borrow_mut()
                 .own_placement(self.speeds.clone(), node.now()),
             pressure: node.waiting.stated(),
         };
@@ -209,11 +221,22 @@
     }
 }
 
-/// Waits; returns early, with `true`, when a graceful stop begins.
-async fn stop_begins_within(node: &Node, time: Millis, round: u64) -> bool {
+/// Why the next digest is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wake {
+    /// It is due.
+    Due,
+    /// A large prompt was sent, of which each group should learn within the minimum interval.
+    LargePrompt,
+    /// A graceful stop begins, of which all nodes should learn at once.
+    Stop,
+}
+
+async fn wait(node: &Node, time: Millis, round: u64, early: bool) -> Wake {
     tokio::select! {
-        () = tokio::time::sleep(time.duration()) => false,
-        () = stop_begins(node, round) => true,
+        () = tokio::time::sleep(time.duration()) => Wake::Due,
+        () = stop_begins(node, round) => Wake::Stop,
+        () = node.urgent_notify.notified(), if early => Wake::LargePrompt,
     }
 }
 
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -145,16 +145,7 @@
             "Connections opened to endpoints",
             m.connections.clone(),
         );
-        registry.register(
-            "first_seconds",
-            "Time from a request to its first event or answer",
-            m.first_seconds.clone(),
-        );
-        registry.register(
-            "total_seconds",
-            "Time from a request to the end of its answer",
-            m.total_seconds.clone(),
-        );
+        register_times(&mut registry, m);
         registry.register("revision", "Revision in force", m.revision.clone());
         registry.register(
             "document_age_seconds",
@@ -197,6 +188,20 @@
     }
 }
 
+/// Registers the times of requests.
+fn register_times(registry: &mut Registry, metrics: &Metrics) {
+    registry.register(
+        "first_seconds",
+        "Time from a request to its first event or answer",
+        metrics.first_seconds.clone(),
+    );
+    registry.register(
+        "total_seconds",
+        "Time from a request to the end of its answer",
+        metrics.total_seconds.clone(),
+    );
+}
+
 /// Registers the metrics of the store.
 fn register_store(registry: &mut Registry, metrics: &Metrics) {
     let calls = metrics.store_calls.clone();
