Split the request for an endpoint from the attempt

Change: the head and body that are sent are built in a function of their own. Result: no change of behaviour.

--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -129,24 +129,10 @@
         };
         self.slot_sent();
         self.attempts_sent += 1;
-        let dialect = &node.platform.dialect;
-        let attempt = Attempt {
-            endpoint: Some(endpoint.name.clone()),
-            time_left: Some(Millis(self.deadline.since(now))),
-            org: self.org.map(|org| org.name.clone()),
-            rank: self.engine_rank(need),
-            last_event: events.last_id(),
-        };
-        let inbound = &self.inbound.head;
         let is_last = self.attempts_sent >= self.route.attempts;
-        let outbound = Outbound {
-            method: inbound.method.clone(),
-            uri: inbound.uri.clone(),
-            headers: dialect.attempt_headers(&inbound.headers, &attempt),
-            body: self.outbound_body(is_last),
-            has_body: self.inbound.has_body,
-            close: false,
-        };
+        let last_event = events.last_id();
+        let outbound = self.outbound(endpoint, need, last_event, now);
+        let dialect = &node.platform.dialect;
         let is_own = |head: &ResponseHead| {
             let answered = dialect.parse_answer(head).id;
             let own = answered.as_deref() == self.request.id.as_deref();
@@ -195,6 +181,33 @@
         }
     }
 
+    /// Returns the request as it is sent to an endpoint.
+    fn outbound(
+        &self,
+        endpoint: &Endpoint,
+        need: &Need,
+        last_event: Option<u64>,
+        now: Millis,
+    ) -> Outbound {
+        let attempt = Attempt {
+            endpoint: Some(endpoint.name.clone()),
+            time_left: Some(Millis(self.deadline.since(now))),
+            org: self.org.map(|org| org.name.clone()),
+            rank: self.engine_rank(need),
+            last_event,
+        };
+        let inbound = &self.inbound.head;
+        let dialect = &self.node.platform.dialect;
+        Outbound {
+            method: inbound.method.clone(),
+            uri: inbound.uri.clone(),
+            headers: dialect.attempt_headers(&inbound.headers, &attempt),
+            body: self.outbound_body(self.attempts_sent >= self.route.attempts),
+            has_body: self.inbound.has_body,
+            close: false,
+        }
+    }
+
     /// Returns the body for an attempt. After the last one nothing is sent again, so the body is
     /// freed as soon as it is written.
     fn outbound_body(&self, is_last: bool) -> Bytes {
