Roll out versions with bounded exposure and judge them by counts of all entries

Cause: an operator's order to move a service to another version had no effect.

Change: cumin_entry::rollout decides which version a request may use, bounds what a version that is not judged yet receives (each entry by its own requests and its part of half of the slack), and compares the versions by route. Digests carry the counts as one further field at the end. The holder of the duty lease writes the status. The platform decodes orders, statuses, versions of endpoints and the optional bounds; without expose_share orders are ignored with a log line.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -66,6 +66,9 @@
     /// Time of its start, in Unix milliseconds.
     #[serde(rename = "born")]
     pub started_ms: u64,
+    /// Version of its software, if it states one.
+    #[serde(default)]
+    pub version: Option<crate::rollout::Version>,
 }
 
 /// Effect of a registration record on the fleet.
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod quota;
 pub mod relay;
 pub mod retry;
+pub mod rollout;
 pub mod scale;
 pub mod selection;
 pub mod settings;
--- a/crates/cumin-entry/src/platform.rs
+++ b/crates/cumin-entry/src/platform.rs
@@ -19,6 +19,7 @@
 
 use crate::document::Document;
 use crate::fleet::Endpoint;
+use crate::rollout::{Status, VersionOrder};
 use crate::selection::Part;
 
 /// A stream of records in the platform's store.
@@ -39,6 +40,9 @@
     /// Suspects of crashes that are refused, keyed by suspect.
     #[display("quarantine")]
     Quarantine,
+    /// Statuses of roll-outs, keyed by service.
+    #[display("status")]
+    Status,
 }
 
 /// A record of a stream.
@@ -262,6 +266,26 @@
     /// A field is missing or of another type.
     fn decode_document(&self, value: &[u8]) -> Result<Document, Unreadable>;
 
+    /// Decodes an order of a roll-out; `None` if the key is not one of such an order.
+    ///
+    /// # Errors
+    /// A field is missing or of another type. A duration that is not positive is no error.
+    fn decode_rollout(&self, key: &str, value: &[u8]) -> Option<Result<VersionOrder, Unreadable>>;
+
+    /// Encodes the status of a roll-out as a key and a value.
+    fn encode_status(&self, status: &Status, wall: WallMillis) -> (String, Bytes);
+
+    /// Decodes the status of a roll-out, as of the time `wall`.
+    ///
+    /// # Errors
+    /// A field is missing or of another type.
+    fn decode_status(
+        &self,
+        key: &str,
+        value: &[u8],
+        wall: WallMillis,
+    ) -> Result<Status, Unreadable>;
+
     /// Decodes the registration of an endpoint; relative times in it count from `now`.
     ///
     /// # Errors
--- a/crates/cumin-entry/src/settings.rs
+++ b/crates/cumin-entry/src/settings.rs
@@ -5,6 +5,7 @@
 use cumin_types::{Millis, NodeName, Place, Region};
 
 use crate::quota::Tolerance;
+use crate::rollout::exposure::ExposeBounds;
 
 /// Bounds on times and retries that the operator sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,6 +38,8 @@
     pub quota: Tolerance,
     /// Maximum time that callers cache an answer of the directory.
     pub directory_ttl: Millis,
+    /// Bounds on roll-outs; without them orders of roll-outs are ignored.
+    pub expose: Option<ExposeBounds>,
 }
 
 /// Settings of an entry process.
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -14,6 +14,8 @@
 mod relay;
 mod retry;
 mod retry_after;
+mod rollout;
+mod rollout_replay;
 mod scale;
 mod selection;
 mod stop;
@@ -37,6 +39,7 @@
         leaves_at: None,
         spot: false,
         started_ms: 1,
+        version: None,
     }
 }
 
--- a/crates/cumin-serve/src/admit.rs
+++ b/crates/cumin-serve/src/admit.rs
@@ -190,6 +190,8 @@
         tried: Vec::new(),
         estimate_ms: 0.0,
         first_ms: Cell::new(None),
+        watched: None,
+        status: Cell::new(None),
     })
 }
 
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -325,6 +325,7 @@
         share.raise(body.len());
         flight.answered = true;
         let head = Box::new(answer.head.clone());
+        self.status.set(Some(head.status));
         if head.status.is_success() {
             self.request_ran(&mut flight, answer.until_close);
         }
@@ -392,6 +393,9 @@
         let node = self.node;
         let now = node.now();
         flight.begun = Some(now);
+        if let Some(watched) = &self.watched {
+            watched.begun();
+        }
         node.selector
             .borrow_mut()
             .stream_begun(self.service, &flight.endpoint, flight.id, now);
--- a/crates/cumin-serve/src/duty.rs
+++ b/crates/cumin-serve/src/duty.rs
@@ -16,6 +16,7 @@
 
 use crate::feed;
 use crate::node::Node;
+use crate::rollout;
 
 /// Time between two checks of the lease and of the duties that are due.
 const STEP_INTERVAL: Millis = Millis(250);
@@ -41,6 +42,8 @@
     /// Usage window in which this node started. It sums this window, the one before and later ones;
     /// earlier windows are left to nodes that heard all of their counts.
     start_window: u64,
+    /// Whether the statuses of roll-outs were read since the lease was acquired.
+    statuses_read: bool,
 }
 
 /// Acquires the lease when possible and performs the duties while it is held.
@@ -61,6 +64,7 @@
         planned_at: Millis(0),
         planned_version: 0,
         start_window: node.usage_window(),
+        statuses_read: false,
         node,
     };
     let mut ticks = interval(STEP_INTERVAL.duration());
@@ -106,6 +110,7 @@
                 };
                 if self.append(record, at).await {
                     self.scalers.clear();
+                    self.statuses_read = false;
                 }
             }
             Step::Renew(at) => {
@@ -129,6 +134,7 @@
         if self.lease.may_act(self.node.now()).is_some() {
             self.report().await;
             self.order_engines().await;
+            self.decide_rollouts().await;
         }
     }
 
@@ -247,6 +253,25 @@
         }
     }
 
+    /// Decides on the roll-outs, after the statuses that earlier holders wrote were read.
+    async fn decide_rollouts(&mut self) {
+        let node = self.node.clone();
+        if node.rollouts.borrow().running() == 0 {
+            return;
+        }
+        if !self.statuses_read {
+            match rollout::read_statuses(&node).await {
+                Ok(()) => self.statuses_read = true,
+                Err(error) => {
+                    log::warn!("event=rollout decision=statuses_unread error={error:?}");
+                    return;
+                }
+            }
+        }
+        let lease = &self.lease;
+        rollout::decide(&node, || lease.may_act(node.now()).is_some()).await;
+    }
+
     /// Plans the engines of all scaled services and orders the changes.
     async fn order_engines(&mut self) {
         let node = self.node.clone();
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -16,6 +16,7 @@
 use crate::metrics::StoreCallLabels;
 use crate::node::{Freshness, Node};
 use crate::relay;
+use crate::rollout;
 
 /// Time that a read waits for a record. It is below the bound within which a document must be in
 /// force, and well below the bound after which a removed key must be refused. Together with the
@@ -268,9 +269,12 @@
     let codec = &node.platform.codec;
     let key = codec.document_key();
     let is_document = |record: &&Record| record.key.as_deref() == Some(key);
+    let orders = page.records.iter();
+    let orders = orders.filter(|record| rollout::apply_order(node, record));
+    let mut relayed: Vec<RelayedRecord> = orders.filter_map(RelayedRecord::from_record).collect();
     // Only the newest document matters, and decoding one takes a while.
     let Some(record) = page.records.iter().rev().find(is_document) else {
-        return Vec::new();
+        return relayed;
     };
     match &record.value {
         Some(value) => match codec.decode_document(value) {
@@ -282,7 +286,9 @@
         },
         None => log::error!("event=document_removed offset={}", record.offset),
     }
-    RelayedRecord::from_record(record).into_iter().collect()
+    relayed.extend(RelayedRecord::from_record(record));
+    relayed.sort_by_key(|record| record.offset);
+    relayed
 }
 
 /// Follows the registrations of endpoints; does not return.
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -14,6 +14,7 @@
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
+use cumin_entry::rollout::Stated;
 use cumin_entry::suspects::StatedPart;
 use cumin_types::Millis;
 use serde::de::DeserializeOwned;
@@ -26,6 +27,7 @@
 use crate::limit;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
+use crate::rollout;
 
 /// Time between two digests, multiplied by the number of nodes. The loads by which endpoints are
 /// selected are up to this old; until the maximum is reached, a node sends fewer than 100 messages
@@ -37,6 +39,9 @@
 /// One digest in this many states the counts of all kept usage windows.
 const FULL_USAGE_PERIOD: u64 = 4;
 
+/// One digest in this many is sent with a log line on each roll-out that goes on.
+const SUMMARY_PERIOD: u64 = 8;
+
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -71,6 +76,7 @@
         sequence += 1;
         update_from_peers(&node);
         crash::review(&node);
+        rollout::review(&node, sequence.is_multiple_of(SUMMARY_PERIOD));
         let mut digest = own_digest(&node, sequence);
         let stated = node.suspects.borrow().stated(node.now());
         digest.suspects = stated.requests;
@@ -81,6 +87,7 @@
             limits: node.limits.borrow().stated(node.now()),
             reads: node.reads.get().span().map(|span| span.stated(node.now())),
             leaving: node.fleet.borrow().stated_leaving(node.now()),
+            rollouts: node.rollouts.borrow().stated(node.now()),
         };
         let payload = match message.encode() {
             Ok(payload) => payload,
@@ -110,6 +117,7 @@
     limits: Vec<StatedLimit>,
     reads: Option<StatedSpan>,
     leaving: Vec<StatedLeaving>,
+    rollouts: Vec<Stated>,
 }
 
 impl Message {
@@ -119,7 +127,8 @@
         let payload = postcard::to_extend(&self.parts, payload)?;
         let payload = postcard::to_extend(&self.limits, payload)?;
         let payload = postcard::to_extend(&self.reads, payload)?;
-        postcard::to_extend(&self.leaving, payload)
+        let payload = postcard::to_extend(&self.leaving, payload)?;
+        postcard::to_extend(&self.rollouts, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -129,7 +138,8 @@
         let (parts, rest) = take_or_default(rest)?;
         let (limits, rest) = take_or_default(rest)?;
         let (reads, rest) = take_or_default(rest)?;
-        let (leaving, _) = take_or_default(rest)?;
+        let (leaving, rest) = take_or_default(rest)?;
+        let (rollouts, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -137,6 +147,7 @@
             limits,
             reads,
             leaving,
+            rollouts,
         })
     }
 }
@@ -286,6 +297,7 @@
         limits,
         reads,
         leaving: stated_leaving,
+        rollouts,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -325,6 +337,12 @@
         .merge_peer(&digest.node, digest.incarnation, &digest.taken, now);
     limit::merge_peer(node, digest, limits);
     leaving::merge_peer(node, &digest.node, stated_leaving);
+    if !rollouts.is_empty() {
+        let mut own = node.rollouts.borrow_mut();
+        own.merge_peer(&digest.node, digest.incarnation, rollouts, now);
+        drop(own);
+        rollout::log_events(node);
+    }
     let max_memory = node.table().map_or(0, |table| {
         let services = table.document().services.iter();
         let memories = services.filter_map(|spec| Some(spec.engine.as_ref()?.memory_tokens));
@@ -428,6 +446,8 @@
     metrics.suspects.set(number(suspects.count(now)));
     let quarantined = suspects.quarantined().len();
     metrics.quarantined.set(number(quarantined));
+    let rollouts = node.rollouts.borrow().running();
+    metrics.rollouts.set(number(rollouts));
     metrics.limited.set(number(node.limits.borrow().count()));
     let waiting = node.limits.borrow().waiting(now);
     metrics.waiting.set(number(waiting));
--- a/crates/cumin-serve/src/lib.rs
+++ b/crates/cumin-serve/src/lib.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod reply;
 mod request;
+mod rollout;
 pub mod sink;
 mod stop;
 
@@ -106,6 +107,7 @@
     actix_rt::spawn(feed::endpoints(node.clone()));
     actix_rt::spawn(gossip::announce(node.clone()));
     actix_rt::spawn(quarantine::restore(node.clone()));
+    actix_rt::spawn(rollout::restore(node.clone()));
     actix_rt::spawn(gossip::send(node.clone(), socket.clone()));
     actix_rt::spawn(gossip::receive(node.clone(), socket));
     actix_rt::spawn(relay::receive(node.clone()));
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -58,6 +58,7 @@
     pub(crate) limited: Gauge,
     pub(crate) waiting: Gauge,
     pub(crate) leaving: Gauge,
+    pub(crate) rollouts: Gauge,
     pub(crate) held_bytes: Gauge,
     pub(crate) held_limit: Gauge,
 }
@@ -89,6 +90,7 @@
             limited: Gauge::default(),
             waiting: Gauge::default(),
             leaving: Gauge::default(),
+            rollouts: Gauge::default(),
             held_bytes: Gauge::default(),
             held_limit: Gauge::default(),
             registry: Registry::default(),
@@ -179,6 +181,11 @@
             "Registered endpoints that drain or stated that they leave",
             &metrics.leaving,
         ),
+        (
+            "rollouts",
+            "Roll-outs without a final status",
+            &metrics.rollouts,
+        ),
         (
             "held_bytes",
             "Bytes of bodies and of answers that are held for callers",
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -16,6 +16,7 @@
 use cumin_entry::quota::Quotas;
 use cumin_entry::relay::Stamps;
 use cumin_entry::retry::{BudgetOptions, RetryBudget};
+use cumin_entry::rollout::{RolloutOptions, Rollouts};
 use cumin_entry::selection::{Selector, SelectorOptions};
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_entry::stop::Stop;
@@ -120,6 +121,7 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) suspects: RefCell<Suspects>,
     pub(crate) limits: RefCell<RateLimits>,
+    pub(crate) rollouts: RefCell<Rollouts>,
     /// Bytes that are held for callers.
     pub(crate) memory: RefCell<MemoryBudget>,
     /// Notified when held bytes are returned.
@@ -174,6 +176,11 @@
             usage: RefCell::default(),
             suspects: RefCell::default(),
             limits: RefCell::new(RateLimits::new(settings.node.clone())),
+            rollouts: RefCell::new(Rollouts::new(RolloutOptions {
+                node: settings.node.clone(),
+                incarnation: Incarnation(wall.0),
+                started: now,
+            })),
             memory: RefCell::new(MemoryBudget::new(&memory)),
             memory_notify: Notify::new(),
             checks: RefCell::default(),
@@ -197,6 +204,8 @@
         let now = self.now();
         let tolerance = self.bounds.get().quota;
         self.quotas.borrow_mut().set_tolerance(tolerance, now);
+        let expose = self.bounds.get().expose;
+        self.rollouts.borrow_mut().set_bounds(expose);
         self
     }
 
@@ -211,6 +220,7 @@
                 self.bounds.set(new.bounds);
                 let mut quotas = self.quotas.borrow_mut();
                 quotas.set_tolerance(new.bounds.quota, self.now());
+                self.rollouts.borrow_mut().set_bounds(new.bounds.expose);
             }
             Err(error) => log::error!("event=reload cause={cause} error={error:?}"),
         }
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -11,6 +11,7 @@
 use cumin_entry::fleet::Endpoint;
 use cumin_entry::limits::Blocked;
 use cumin_entry::platform::CallerRequest;
+use cumin_entry::rollout::Assignment;
 use cumin_entry::selection::{Choice, Need};
 use cumin_entry::suspects::Suspicion;
 use cumin_types::{EndpointName, Millis, Service, score};
@@ -26,6 +27,7 @@
 use crate::metrics::{ReasonLabel, RequestLabels};
 use crate::node::Node;
 use crate::reply::{Reply, ReplyEnd};
+use crate::rollout::{self, Watched};
 
 /// Number of failed connections after which a request gives up.
 const MAX_FAILED_CONNECTIONS: usize = 4;
@@ -58,6 +60,10 @@
     pub(crate) estimate_ms: f64,
     /// Measured time from the request until its first event or answer.
     pub(crate) first_ms: Cell<Option<u64>>,
+    /// The attempt under way, if it is counted for a roll-out.
+    pub(crate) watched: Option<Watched>,
+    /// Status of the last complete answer of an endpoint.
+    pub(crate) status: Cell<Option<StatusCode>>,
 }
 
 /// Counts a request as in progress until dropped.
@@ -215,9 +221,15 @@
             };
             self.estimate_ms = estimate_ms;
             self.tried.push(endpoint.name.clone());
+            self.watch(&endpoint, estimate_ms);
+            let events_before = events.completed();
             let attempt_end = self
                 .attempt(&endpoint, &need, estimate_ms, &mut events, reply)
                 .await?;
+            self.watched_ended(
+                &attempt_end,
+                events.completed().saturating_sub(events_before),
+            );
             let reason = match &attempt_end {
                 AttemptEnd::Answered(..) => "answered",
                 AttemptEnd::NotSent => "unsent",
@@ -288,6 +300,7 @@
         let usable = fleet.usable(self.service, now);
         let untried = usable.filter(|endpoint| !self.tried.contains(&endpoint.name));
         let blocked = limits.blocked(untried, now);
+        let assigned = self.assign(is_retry, now);
         let mut avoid = [&self.tried[..], &blocked.endpoints[..]].concat();
         let mut selector = self.node.selector.borrow_mut();
         if !blocked.endpoints.is_empty() {
@@ -299,7 +312,14 @@
                     .cloned(),
             );
         }
-        let choice = selector.choose(&fleet, self.service, need, &avoid, now);
+        let with = |names: &[EndpointName]| [&avoid[..], names].concat();
+        let first = with(&assigned.avoid);
+        let mut choice = selector.choose(&fleet, self.service, need, &first, now);
+        if !matches!(choice, Choice::Use { .. }) && assigned.fallback != assigned.avoid {
+            // The other version takes what this one can't.
+            let fallback = with(&assigned.fallback);
+            choice = selector.choose(&fleet, self.service, need, &fallback, now);
+        }
         drop(selector);
         let Choice::Use {
             endpoint,
@@ -333,6 +353,50 @@
             .ok_or(refused)
     }
 
+    /// Returns the endpoints that the request may not use because of a roll-out.
+    fn assign(&self, is_retry: bool, now: Millis) -> Assignment {
+        let mut rollouts = self.node.rollouts.borrow_mut();
+        if !rollouts.is_enabled() {
+            return Assignment::default();
+        }
+        let candidates = rollout::candidates(self.node, self.service);
+        rollouts.assign(self.service, &self.route.name, &candidates, is_retry, now)
+    }
+
+    /// Counts the attempt at an endpoint if a roll-out of the service goes on.
+    fn watch(&mut self, endpoint: &Endpoint, estimate_ms: f64) {
+        let is_engine = self.spec.is_some_and(|spec| spec.engine.is_some());
+        // The estimate for an endpoint of a plain service is what it took lately, so that a slow
+        // one would be as fast as expected.
+        let expected_ms = if is_engine {
+            estimate_ms
+        } else {
+            seconds(self.route.goal.0) * 1000.0
+        };
+        let names = (self.service, &self.route.name);
+        self.watched = Watched::new(self.node, names, endpoint, expected_ms, self.deadline);
+    }
+
+    /// Counts the end of the attempt, in which `events` were received.
+    fn watched_ended(&mut self, end: &AttemptEnd, events: u32) {
+        let Some(watched) = self.watched.take() else {
+            return;
+        };
+        let status = self.status.take();
+        // A refusal says that the endpoint is busy or leaves, not that its version is bad.
+        let failed = |status: StatusCode| {
+            status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE
+        };
+        match end {
+            AttemptEnd::Answered(_, "broken" | "cut_endpoint") | AttemptEnd::Broken => {
+                watched.broke();
+            }
+            AttemptEnd::Answered(..) => watched.answered(status.is_some_and(failed), events),
+            AttemptEnd::Failed(head, _) if failed(head.status) => watched.answered(true, 0),
+            AttemptEnd::NotSent | AttemptEnd::NotRun | AttemptEnd::Failed(..) => {}
+        }
+    }
+
     /// Replaces a refusal by one with the soonest end of a wait, if all endpoints want nothing.
     fn refuse_waiting(&self, refusal: NoAttempt, now: Millis) -> NoAttempt {
         let (_, reason, _) = &refusal;
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -358,6 +358,7 @@
         usage_due: Millis(10_000),
         lease: Millis(3000),
         quota: Tolerance::default(),
+        expose: None,
         directory_ttl: Millis(5000),
     }
 }
