--- a/crates/cumin-entry/src/rollout.rs
+++ b/crates/cumin-entry/src/rollout.rs
@@ -257,15 +257,21 @@
         running.filter(|run| !run.verdict.is_final()).count()
     }
 
-    /// Applies an order. `nodes` is the number of nodes that share the slack.
+    /// Applies an order that was given after `earliest`, the time of the copy before it. `nodes` is
+    /// the number of nodes that share the slack.
     pub fn order_seen(
         &mut self,
         order: VersionOrder,
         offset: LogOffset,
         nodes: usize,
+        earliest: Option<Millis>,
         now: Millis,
     ) {
         let service = order.service.clone();
+        // The time since then counts, so that the order ends in time after an outage of the store.
+        let most = order.duration.map_or(0, |duration| duration.0 / 4);
+        let passed = earliest.map_or(0, |earliest| now.since(earliest)).min(most);
+        let began = Millis(now.0.saturating_sub(passed));
         if self.bounds.is_none() {
             self.log(
                 &service,
@@ -296,7 +302,7 @@
             if !run.verdict.is_final() {
                 // Going back to the old version is safe at any time, except after the verdict.
                 let target = order.target.clone();
-                state.next = Some((order, offset, now));
+                state.next = Some((order, offset, began));
                 if run.verdict == Verdict::Open {
                     run.verdict = Verdict::Bad;
                 }
@@ -308,7 +314,7 @@
                 return;
             }
         }
-        self.begin(&service, order, offset, nodes, now, now);
+        self.begin(&service, order, offset, nodes, began, now);
     }
 
     fn begin(
--- a/crates/cumin-entry/src/rollout/verdict.rs
+++ b/crates/cumin-entry/src/rollout/verdict.rs
@@ -20,6 +20,21 @@
 /// Windows that are taken together for the variance of slow answers: a slow spell spans two or three.
 const BLOCK: usize = 3;
 
+/// Counts of a window without requests of a route.
+static EMPTY: Sides = Sides {
+    old: EMPTY_TALLY,
+    new: EMPTY_TALLY,
+};
+
+const EMPTY_TALLY: Tally = Tally {
+    sent: 0,
+    answers: 0,
+    failures: 0,
+    broken: 0,
+    first: [0; BUCKETS],
+    pace: [0; BUCKETS],
+};
+
 /// Number of windows kept by themselves; older ones are summed.
 const MAX_WINDOWS: usize = 64;
 
@@ -33,8 +48,9 @@
 /// must not be excused by its earlier answers.
 const SPANS: [usize; 4] = [6, 12, 24, 64];
 
-/// Least logarithm of the likelihood ratio at which a version is bad. A value of 16 occurs by chance
-/// once in 10^8 looks at independent answers; there are some thousand looks in a roll-out.
+/// Least logarithm of the likelihood ratio at which a version is bad. A value of 11 occurs by chance
+/// once in 10^6 looks at independent answers. A roll-out has some hundred looks, most of them at
+/// almost the same answers.
 const MIN_EVIDENCE: f64 = 11.0;
 
 /// Part of the least evidence that is enough at the single look before the traffic moves.
@@ -57,42 +73,27 @@
     least: f64,
     /// Least share of slow answers beyond that of the old version.
     share: f64,
-    /// Whether the latest windows are judged by themselves.
-    any_span: bool,
 }
 
 /// Levels where the old version's slow answers come in bursts. An endpoint in a slow spell, up to
-/// 2.5 times slower, answers few requests in more than 4 times the median. Such spells add up to
-/// many answers of more than 2 times the median within seconds, if the target version has one
-/// endpoint only, so that these are judged over the whole time.
-const BURST_LEVELS: [SlowLevel; 2] = [
-    SlowLevel {
-        above: 5,
-        least: 16.0,
-        share: 0.06,
-        any_span: true,
-    },
-    SlowLevel {
-        above: 3,
-        least: 28.0,
-        share: 0.12,
-        any_span: false,
-    },
-];
+/// 2.5 times slower, answers few requests in more than 4 times the median.
+const BURST_LEVELS: [SlowLevel; 1] = [SlowLevel {
+    above: 5,
+    least: 26.0,
+    share: 0.06,
+}];
 
 /// Levels where they are independent.
 const STEADY_LEVELS: [SlowLevel; 2] = [
     SlowLevel {
         above: 3,
-        least: 14.0,
+        least: 18.0,
         share: 0.1,
-        any_span: true,
     },
     SlowLevel {
         above: 5,
-        least: 14.0,
+        least: 18.0,
         share: 0.05,
-        any_span: true,
     },
 ];
 
@@ -102,6 +103,34 @@
 /// Windows until that variance is known.
 const MIN_SPREAD_WINDOWS: usize = 20;
 
+/// Buckets above the old version's median from which answers count as slow in the sum over windows.
+const NEAR_BUCKETS: usize = 3;
+
+/// Rate of slow answers of a bad version that the sum over windows is tuned to: this much above the
+/// old one's, and at least so many times it.
+const BAD_RATE_ABOVE: f64 = 0.2;
+const BAD_RATE_RATIO: f64 = 2.5;
+
+/// Limits of the sum over windows. Slow spells of endpoints give single windows with many slow
+/// answers, a bad version many windows with some.
+#[derive(Clone, Copy, Debug)]
+struct SumLimits {
+    /// Most that one window adds.
+    window: f64,
+    /// Sum at which a version is bad.
+    least: f64,
+}
+
+const STEADY_SUM: SumLimits = SumLimits {
+    window: 1.5,
+    least: 17.0,
+};
+
+const BURST_SUM: SumLimits = SumLimits {
+    window: 1.3,
+    least: 16.0,
+};
+
 /// Fewest answers of the old version in a span; with fewer, all of its answers are compared.
 const MIN_OLD_ANSWERS: u32 = 50;
 
@@ -204,7 +233,9 @@
     /// Returns the counts of a route in the windows from `start` on, and before them if `all`.
     fn span<'a>(&'a self, route: &'a Arc<str>, total: &Sides, start: usize, all: bool) -> Span<'a> {
         let all_windows = self.windows.iter();
-        let all_windows: Vec<&Sides> = all_windows.filter_map(|w| w.get(route)).collect();
+        let all_windows: Vec<&Sides> = all_windows
+            .map(|window| window.get(route).unwrap_or(&EMPTY))
+            .collect();
         let windows = self.windows.iter().skip(start);
         let windows: Vec<&Sides> = windows.filter_map(|window| window.get(route)).collect();
         let older = self.older.get(route).filter(|_| all);
@@ -269,18 +300,20 @@
             .iter()
             .any(|span| span.all_windows.len() >= MIN_SPREAD_WINDOWS);
         let spread = spread_of(spans, histogram, STEADY_LEVELS[0].above);
-        let levels = if known && spread < BURST_SPREAD {
-            STEADY_LEVELS
+        let is_steady = known && spread < BURST_SPREAD;
+        let (levels, limits) = if is_steady {
+            (&STEADY_LEVELS[..], STEADY_SUM)
         } else {
-            BURST_LEVELS
+            (&BURST_LEVELS[..], BURST_SUM)
         };
-        let levels = levels.iter().filter(|level| all || level.any_span);
+        if all && let Some(found) = sum_of_windows(spans, fault, histogram, limits, part) {
+            return Some(found);
+        }
         for SlowLevel {
             above,
             least,
             share: more,
-            ..
-        } in levels.copied()
+        } in levels.iter().copied()
         {
             let slow = |span: &Span<'_>| {
                 let Some(median) = median(histogram(&span.old)) else {
@@ -306,6 +339,48 @@
     None
 }
 
+/// Returns the evidence of slow answers as a sum over windows that starts again whenever it falls
+/// below zero, and counts each window up to a limit.
+fn sum_of_windows(
+    spans: &[Span<'_>],
+    fault: Fault,
+    histogram: fn(&Tally) -> &[u32; BUCKETS],
+    limits: SumLimits,
+    part: f64,
+) -> Option<Evidence> {
+    let mut windows = Vec::new();
+    let mut found = combine(spans, fault, |_| Default::default());
+    for span in spans {
+        let Some(median) = median(histogram(&span.old)) else {
+            continue;
+        };
+        let start = (median + NEAR_BUCKETS).min(BUCKETS - 1);
+        let slow = |tally: &Tally| -> (u32, u32) {
+            let histogram = histogram(tally);
+            (histogram[start..].iter().sum(), histogram.iter().sum())
+        };
+        let old = slow(&span.old);
+        if old.1 < MIN_OLD_ANSWERS {
+            continue;
+        }
+        found.old = (found.old.0 + old.0, found.old.1 + old.1);
+        let good = f64::from(old.0 + 1) / f64::from(old.1 + 2);
+        let bad = f64::max(good * BAD_RATE_RATIO, good + BAD_RATE_ABOVE).min(0.95);
+        windows.resize(windows.len().max(span.all_windows.len()), 0.0);
+        for (sum, window) in windows.iter_mut().zip(&span.all_windows) {
+            let (slow, all) = slow(&window.new);
+            found.new = (found.new.0 + slow, found.new.1 + all);
+            *sum += f64::from(slow) * (bad / good).ln()
+                + f64::from(all - slow) * ((1.0 - bad) / (1.0 - good)).ln();
+        }
+    }
+    for window in windows {
+        let sum: f64 = found.evidence + f64::min(window, limits.window);
+        found.evidence = sum.max(0.0);
+    }
+    (found.evidence >= limits.least * part.max(LAST_LOOK_SLOW)).then_some(found)
+}
+
 /// Returns the number of windows with slow answers of the target version.
 fn slow_windows(
     spans: &[Span<'_>],
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -214,6 +214,7 @@
             node.now().since(since)
         );
     }
+    feed.before.set(state.as_of);
     feed.freshness.set(Freshness {
         as_of: state.as_of.max(Some(as_of)),
         lost_since: None,
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -79,6 +79,8 @@
     /// Offset to continue reading from; `None` before the first listing.
     pub(crate) at: Cell<Option<LogOffset>>,
     pub(crate) freshness: Cell<Freshness>,
+    /// Time of the copy before the last page.
+    pub(crate) before: Cell<Option<Millis>>,
     /// Whether a relayed page showed that this node must read by itself.
     pub(crate) wanted: Cell<bool>,
     /// Notified when a relayed page arrives.
--- a/crates/cumin-serve/src/relay.rs
+++ b/crates/cumin-serve/src/relay.rs
@@ -160,6 +160,7 @@
             now.since(since)
         );
     }
+    feed.before.set(state.as_of);
     feed.freshness.set(Freshness {
         as_of,
         lost_since: None,
--- a/crates/cumin-serve/src/rollout.rs
+++ b/crates/cumin-serve/src/rollout.rs
@@ -129,7 +129,8 @@
         Ok(order) => {
             let nodes = node.sharing_nodes();
             let mut rollouts = node.rollouts.borrow_mut();
-            rollouts.order_seen(order, record.offset, nodes, node.now());
+            let earliest = node.documents.before.get();
+            rollouts.order_seen(order, record.offset, nodes, earliest, node.now());
             drop(rollouts);
             log_events(node);
         }
