Merge roll-outs

Conflicts: an order's identity includes the era of the store, an order that the operator writes again after a restore is no new one, and its status is written again by the lease holder. Roll-outs judge engines by estimates without the learned speed of an endpoint, which would hide a slow version.

--- a/crates/cumin-entry/src/era.rs
+++ b/crates/cumin-entry/src/era.rs
@@ -47,6 +47,18 @@
         FencingToken((self.0 << OFFSET_BITS) + offset.0 + 1)
     }
 
+    /// Returns the position of a record among the records of all eras.
+    #[must_use]
+    pub const fn position(self, offset: LogOffset) -> LogOffset {
+        LogOffset((self.0 << OFFSET_BITS) + offset.0)
+    }
+
+    /// Returns the era of a position.
+    #[must_use]
+    pub const fn of_position(position: LogOffset) -> Self {
+        Self(position.0 >> OFFSET_BITS)
+    }
+
     /// Returns the era of a fencing token.
     #[must_use]
     pub const fn of_token(token: FencingToken) -> Self {
--- a/crates/cumin-entry/src/lib.rs
+++ b/crates/cumin-entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod relay;
 pub mod retry;
 pub mod review;
+pub mod rollout;
 pub mod scale;
 pub mod selection;
 pub mod settings;
--- a/crates/cumin-entry/tests/all/main.rs
+++ b/crates/cumin-entry/tests/all/main.rs
@@ -16,6 +16,8 @@
 mod relay;
 mod retry;
 mod retry_after;
+mod rollout;
+mod rollout_replay;
 mod scale;
 mod selection;
 mod stop;
@@ -41,6 +43,7 @@
         leaves_at: None,
         spot: false,
         started_ms: 1,
+        version: None,
     }
 }
 
--- a/crates/cumin-serve/src/era.rs
+++ b/crates/cumin-serve/src/era.rs
@@ -48,6 +48,7 @@
             read_again(node);
             node.era_notify.notify_waiters();
             quarantine::write_again(node);
+            node.rollouts.borrow_mut().store_restored();
         }
     }
     Ok(answer)
--- a/crates/cumin-serve/src/feed.rs
+++ b/crates/cumin-serve/src/feed.rs
@@ -17,6 +17,7 @@
 use crate::metrics::StoreCallLabels;
 use crate::node::Node;
 use crate::relay;
+use crate::rollout;
 
 /// Time that a read waits for a record. It is below the bound within which a document must be in
 /// force, and well below the bound after which a removed key must be refused. Together with the
@@ -237,6 +238,7 @@
             node.now().since(since)
         );
     }
+    feed.before.set(state.as_of);
     let (end, era) = (page.end, page.era);
     // Records before the current offset came from another reader meanwhile. They are not in what
     // is applied now, so the relayed page must not claim to cover them.
@@ -298,18 +300,20 @@
 }
 
 fn apply_documents(node: &Node, page: &Page) -> Vec<RelayedRecord> {
+    let orders = page.records.iter();
+    let orders = orders.filter(|record| rollout::apply_order(node, record));
+    let mut relayed: Vec<RelayedRecord> = orders.filter_map(RelayedRecord::from_record).collect();
     let key = node.platform.codec.document_key();
     let documents = page.records.iter().rev();
     let documents = documents.filter(|record| record.key.as_deref() == Some(key));
     // Only the newest document matters, and decoding one takes a while. After a loss of the store,
     // older ones may be written again behind it.
     let count = if page.era.is_unknown() { 1 } else { usize::MAX };
-    let mut relayed = Vec::new();
     for record in documents.take(count) {
         apply_document(node, record);
         relayed.extend(RelayedRecord::from_record(record));
     }
-    relayed.reverse();
+    relayed.sort_by_key(|record| record.offset);
     relayed
 }
 
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -15,6 +15,7 @@
 use cumin_entry::peer::{Digest, DigestOrder, Extension};
 use cumin_entry::platform::{Page, Stream};
 use cumin_entry::relay::Proof;
+use cumin_entry::rollout::Stated;
 use cumin_entry::selection::{Placement, SentPart, StatedSpeed};
 use cumin_entry::suspects::StatedPart;
 use cumin_entry::usage;
@@ -31,6 +32,7 @@
 use crate::limit;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
+use crate::rollout;
 use crate::waiting;
 
 /// Time between two digests, multiplied by the number of nodes. The loads by which endpoints are
@@ -47,6 +49,9 @@
 /// to arrive.
 const MAX_DIGEST_DELAY: Millis = Millis(500);
 
+/// One round of digests in this many is sent with a log line on each roll-out that goes on.
+const SUMMARY_PERIOD: u64 = 8;
+
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -83,6 +88,7 @@
     'rounds: loop {
         update_from_peers(&node);
         crash::review(&node);
+        rollout::review(&node, rounds.round.is_multiple_of(SUMMARY_PERIOD));
         let contacts = other_contacts(&node);
         let groups: Vec<&[IpAddr]> = contacts.chunks(GROUP_SIZE).collect();
         let steps = (groups.len() as u64).max(1);
@@ -194,6 +200,7 @@
                 .borrow_mut()
                 .own_placement(self.speeds.clone(), node.now()),
             pressure: node.waiting.stated(),
+            rollouts: node.rollouts.borrow().stated(node.now()),
         };
         match message.encode() {
             Ok(payload) => Some(payload),
@@ -253,6 +260,7 @@
     span: Option<usage::StatedSpan>,
     placement: Placement,
     pressure: Vec<StatedPressure>,
+    rollouts: Vec<Stated>,
 }
 
 impl Message {
@@ -266,7 +274,8 @@
         let payload = postcard::to_extend(&self.era, payload)?;
         let payload = postcard::to_extend(&self.span, payload)?;
         let payload = postcard::to_extend(&self.placement, payload)?;
-        postcard::to_extend(&self.pressure, payload)
+        let payload = postcard::to_extend(&self.pressure, payload)?;
+        postcard::to_extend(&self.rollouts, payload)
     }
 
     /// Decodes a datagram; one of an older version lacks the last fields.
@@ -280,7 +289,8 @@
         let (era, rest) = take_or_default(rest)?;
         let (span, rest) = take_or_default(rest)?;
         let (placement, rest) = take_or_default(rest)?;
-        let (pressure, _) = take_or_default(rest)?;
+        let (pressure, rest) = take_or_default(rest)?;
+        let (rollouts, _) = take_or_default(rest)?;
         Ok(Self {
             digest,
             extension,
@@ -292,6 +302,7 @@
             span,
             placement,
             pressure,
+            rollouts,
         })
     }
 }
@@ -445,6 +456,7 @@
         span,
         placement,
         pressure,
+        rollouts,
     } = message;
     let now = node.now();
     let mut peers = node.peers.borrow_mut();
@@ -491,6 +503,12 @@
     limit::merge_peer(node, digest, limits);
     leaving::merge_peer(node, &digest.node, stated_leaving);
     era::merge_peer(node, digest, *stated_era);
+    if !rollouts.is_empty() {
+        let mut own = node.rollouts.borrow_mut();
+        own.merge_peer(&digest.node, digest.incarnation, rollouts, now);
+        drop(own);
+        rollout::log_events(node);
+    }
     let max_memory = node.table().map_or(0, |table| {
         let services = table.document().services.iter();
         let memories = services.filter_map(|spec| Some(spec.engine.as_ref()?.memory_tokens));
@@ -607,6 +625,8 @@
     metrics.suspects.set(number(suspects.count(now)));
     let quarantined = suspects.quarantined().len();
     metrics.quarantined.set(number(quarantined));
+    let rollouts = node.rollouts.borrow().running();
+    metrics.rollouts.set(number(rollouts));
     metrics.limited.set(number(node.limits.borrow().count()));
     let paused = node.limits.borrow().waiting(now);
     metrics.waiting.set(number(paused));
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -79,6 +79,7 @@
     pub(crate) leaving: Gauge,
     pub(crate) store_era: Gauge,
     pub(crate) store_restores: Counter,
+    pub(crate) rollouts: Gauge,
     pub(crate) held_bytes: Gauge,
     pub(crate) held_limit: Gauge,
     pub(crate) waits: Family<RankLabels, Counter>,
@@ -116,6 +117,7 @@
             leaving: Gauge::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
+            rollouts: Gauge::default(),
             held_bytes: Gauge::default(),
             held_limit: Gauge::default(),
             waits: Family::default(),
@@ -233,6 +235,11 @@
             "Registered endpoints that drain or stated that they leave",
             &metrics.leaving,
         ),
+        (
+            "rollouts",
+            "Roll-outs without a final status",
+            &metrics.rollouts,
+        ),
         (
             "held_bytes",
             "Bytes of bodies and of answers that are held for callers",
--- a/crates/cumin-serve/src/node.rs
+++ b/crates/cumin-serve/src/node.rs
@@ -17,6 +17,7 @@
 use cumin_entry::quota::Quotas;
 use cumin_entry::relay::Stamps;
 use cumin_entry::retry::{BudgetOptions, RetryBudget};
+use cumin_entry::rollout::{RolloutOptions, Rollouts};
 use cumin_entry::selection::{Selector, SelectorOptions};
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_entry::stop::Stop;
@@ -98,6 +99,8 @@
     /// Era of the last listing, to which `at` belongs.
     pub(crate) era: Cell<Era>,
     pub(crate) freshness: Cell<Freshness>,
+    /// Time of the copy before the last page.
+    pub(crate) before: Cell<Option<Millis>>,
     /// Whether a relayed page showed that this node must read by itself.
     pub(crate) wanted: Cell<bool>,
     /// Notified when a relayed page arrives.
@@ -151,6 +154,7 @@
     /// Suspects whose records this node has removed from the store, and when.
     pub(crate) removed: RefCell<Vec<(Suspect, Millis)>>,
     pub(crate) limits: RefCell<RateLimits>,
+    pub(crate) rollouts: RefCell<Rollouts>,
     /// Bytes that are held for callers.
     pub(crate) memory: RefCell<MemoryBudget>,
     /// Requests that wait for capacity.
@@ -216,6 +220,11 @@
             suspects: RefCell::default(),
             removed: RefCell::default(),
             limits: RefCell::new(RateLimits::new(settings.node.clone())),
+            rollouts: RefCell::new(Rollouts::new(RolloutOptions {
+                node: settings.node.clone(),
+                incarnation: Incarnation(wall.0),
+                started: now,
+            })),
             memory: RefCell::new(MemoryBudget::new(&memory)),
             memory_notify: Notify::new(),
             waiting: WaitRoom::new(&settings.node),
@@ -241,6 +250,8 @@
         let now = self.now();
         let tolerance = self.bounds.get().quota;
         self.quotas.borrow_mut().set_tolerance(tolerance, now);
+        let expose = self.bounds.get().expose;
+        self.rollouts.borrow_mut().set_bounds(expose);
         self
     }
 
@@ -255,6 +266,7 @@
                 self.bounds.set(new.bounds);
                 let mut quotas = self.quotas.borrow_mut();
                 quotas.set_tolerance(new.bounds.quota, self.now());
+                self.rollouts.borrow_mut().set_bounds(new.bounds.expose);
             }
             Err(error) => log::error!("event=reload cause={cause} error={error:?}"),
         }
--- a/crates/cumin-serve/src/relay.rs
+++ b/crates/cumin-serve/src/relay.rs
@@ -176,6 +176,7 @@
             now.since(since)
         );
     }
+    feed.before.set(state.as_of);
     let relayed = Page {
         records: page
             .records
--- a/crates/cumin-serve/tests/all/support.rs
+++ b/crates/cumin-serve/tests/all/support.rs
@@ -16,6 +16,7 @@
     Stream,
 };
 use cumin_entry::quota::Tolerance;
+use cumin_entry::rollout::exposure::ExposeBounds;
 use cumin_entry::settings::{Bounds, Settings};
 use cumin_platform::{HttpDialect, JsonCodec};
 use cumin_serve::{BootClock, Platform};
@@ -63,6 +64,15 @@
         offset
     }
 
+    /// Returns the newest value of a key.
+    pub fn value(&self, stream: Stream, key: &str) -> Option<Value> {
+        let records = self.records.borrow();
+        let of_key =
+            |(s, record): &&(Stream, Record)| *s == stream && record.key.as_deref() == Some(key);
+        let (_, record) = records.iter().rev().find(of_key)?;
+        serde_json::from_slice(record.value.as_ref()?).ok()
+    }
+
     /// Returns a copy of all records, for [`restore`](Self::restore).
     pub fn copy(&self) -> Vec<(Stream, Record)> {
         self.records.borrow().clone()
@@ -203,6 +213,28 @@
     }
 }
 
+/// Cloud that accepts every call.
+struct IdleCloud;
+
+impl Cloud for IdleCloud {
+    fn report_usage(
+        &self,
+        _holder: &LeaseHolder,
+        _window: u64,
+        _counts: &BTreeMap<Organisation, u64>,
+    ) -> LocalFuture<'_, Result<(), CloudError>> {
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn order(
+        &self,
+        _holder: &LeaseHolder,
+        _order: &Order,
+    ) -> LocalFuture<'_, Result<(), CloudError>> {
+        async { Ok(()) }.boxed_local()
+    }
+}
+
 /// A request as received by an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedRequest {
@@ -440,6 +472,7 @@
         usage_due: Millis(10_000),
         lease: Millis(3000),
         quota: Tolerance::default(),
+        expose: None,
         directory_ttl: Millis(5000),
     }
 }
@@ -491,6 +524,17 @@
         Self::start_at(store, "n1", local, free_ports(), Vec::new(), None)
     }
 
+    /// Starts an entry that may expose new versions, and holds the duty lease.
+    pub fn start_exposing(store: MemoryStore, expose: ExposeBounds) -> Self {
+        let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let mut settings = settings("n1", local, free_ports(), Vec::new());
+        settings.bounds.expose = Some(expose);
+        // The users' bound: a record that ends a read leaves its copy as old as that read when the
+        // next one is sent, so that 2,500 ms may pass.
+        settings.bounds.revoke_limit = Millis(5000);
+        Self::start_with(store, settings, Some(Box::new(IdleCloud)))
+    }
+
     /// Starts entries that use one store and hear each other.
     pub fn start_group(store: &MemoryStore, count: u8) -> Vec<Self> {
         Self::start_reporting(store, count, None)
