--- a/crates/cumin-entry/src/waiting.rs
+++ b/crates/cumin-entry/src/waiting.rs
@@ -15,6 +15,7 @@
 //!   is starved.
 //! * Callers that retry at once: a refused request keeps its turn at this entry.
 
+mod estimate;
 mod pressure;
 mod rates;
 mod service;
--- a/crates/cumin-entry/src/waiting/service.rs
+++ b/crates/cumin-entry/src/waiting/service.rs
@@ -9,7 +9,7 @@
 use super::rates::{Mean, Rates};
 use super::{
     Capacity, Estimate, Item, OrgPressure, RANKS, RankCount, RankPressure, StatedPressure,
-    WaitDecision, WaitEnd, WaitLimit, WaitNumber, WaitOptions, WaitRequest, rank_index,
+    WaitDecision, WaitEnd, WaitNumber, WaitOptions, WaitRequest, rank_index,
 };
 use crate::suspects::Fingerprint;
 
@@ -20,9 +20,6 @@
 /// The same while many slots are free.
 const PLENTY_TTL: Millis = Millis(50);
 
-/// Assumed time that a request occupies a slot, before any was estimated.
-const DEFAULT_HOLD_MS: f64 = 2000.0;
-
 /// Slots are kept for the more urgent requests that arrive in this time, in seconds: entries learn of
 /// each other's requests within a digest interval.
 const RESERVE_SECONDS: f64 = 0.25;
@@ -47,33 +44,30 @@
 /// the next digests, in requests.
 const IDLE_NEED: f64 = 0.3;
 
-/// Part of the rate that a rank is assumed to get whatever more urgent ranks ask for.
-const MIN_AVAILABLE: f64 = 0.1;
-
 /// State of a service.
 #[derive(Debug)]
 pub(super) struct ServiceWait {
-    options: WaitOptions,
-    queue: FairQueue<Item, RANKS>,
+    pub(super) options: WaitOptions,
+    pub(super) queue: FairQueue<Item, RANKS>,
     positions: HashMap<WaitNumber, Position>,
-    capacity: Capacity,
+    pub(super) capacity: Capacity,
     observed: Option<Millis>,
     /// Number of entries, including this one.
-    nodes: f64,
+    pub(super) nodes: f64,
     /// Requests that may be sent and were not sent yet.
     allowed: f64,
-    /// Free slots that this entry may use until `refilled` is a digest interval ago.
+    /// Free slots that this entry may use until `refilled` is half of a digest interval ago.
     budget: f64,
     refilled: Option<Millis>,
     /// Part of the slots that is kept for ranks more urgent than each rank.
     inverted: [f64; RANKS],
     reviewed: Millis,
-    peers: PeerPressure,
-    rates: Rates,
+    pub(super) peers: PeerPressure,
+    pub(super) rates: Rates,
     /// Time that requests occupied a slot, in milliseconds.
-    held_ms: Mean,
+    pub(super) held_ms: Mean,
     /// The same as estimated, which counts until one was measured.
-    expected_ms: Mean,
+    pub(super) expected_ms: Mean,
     /// Requests that were displaced from a full queue and are not refused yet.
     displaced: Vec<(Position, Queued<Item>)>,
     /// Turns of refused requests, and the times since which they count as queued.
@@ -159,17 +153,6 @@
         self.unused_slots() > (self.capacity.slots * part).max(1.0)
     }
 
-    /// Returns the mean time that a request occupies a slot, in milliseconds.
-    fn hold_ms(&self) -> f64 {
-        let hold_ms = self.held_ms.get().or(self.expected_ms.get());
-        hold_ms.unwrap_or(DEFAULT_HOLD_MS).max(1.0)
-    }
-
-    /// Returns the number of slots that become free in a second.
-    fn rate(&self) -> f64 {
-        (self.capacity.slots * 1000.0 / self.hold_ms()).max(0.001)
-    }
-
     /// Returns the slots that are kept for ranks more urgent than `rank`.
     fn reserve(&self, rank: usize, now: Millis) -> f64 {
         let requests = self.rates.urgent(rank, now);
@@ -222,69 +205,6 @@
         self.rates.served(rank, 1.0, now);
     }
 
-    /// Estimates when a request would be sent.
-    fn estimate(
-        &self,
-        request: &WaitRequest,
-        turn: Option<Position>,
-        now: Millis,
-    ) -> (Estimate, Position) {
-        let rank = rank_index(request.rank);
-        let ahead = self.queue.work_ahead_of_turn(&request.org, rank, turn);
-        let (peers_urgent, peers_same) =
-            self.peers
-                .ahead(&request.org, rank, ahead.work + request.work_us);
-        let peers_same = if turn == Some(Position::first_of(rank)) {
-            0.0
-        } else {
-            peers_same
-        };
-        let rate = self.rate();
-        let urgent = self.rates.urgent(rank, now) * self.nodes;
-        let mut available = (1.0 - urgent / rate).clamp(MIN_AVAILABLE, 1.0);
-        let mut peers = peers_urgent + peers_same;
-        let mut queued_ms = (count(ahead.requests) + peers) / (rate * available) * 1000.0;
-        let starved = self.rates.starved(self.options.relief, now);
-        if starved >> rank & 1 == 1 {
-            // A part of the slots goes to starved ranks, whatever waits in others.
-            let part = 1.0 / (f64::from(self.options.relief_interval) + 1.0);
-            let urgent: usize = (0..rank).map(|rank| self.queue.load(rank).0).sum();
-            let same = count(ahead.requests - urgent) + peers_same;
-            let relief_ms = same / (rate * part) * 1000.0;
-            if relief_ms < queued_ms {
-                (queued_ms, available, peers) = (relief_ms, part, peers_same);
-            }
-        }
-        // Time until this entry learns of the next slot that becomes free, at the median.
-        let next_ms = 1000.0 / rate;
-        let digest_ms = float(self.options.max_yield.0);
-        let notice_ms = (next_ms * self.nodes / 2.0).min(digest_ms.max(next_ms));
-        let head = self.queue.iter().next().map(|(_, queued)| {
-            let head = &queued.request.request;
-            (head.rank, head.org.clone())
-        });
-        let estimate = Estimate {
-            wait: millis(queued_ms + notice_ms),
-            first: request.first,
-            left: Millis(self.latest(request).since(now)),
-            ahead: ahead.requests,
-            peers,
-            capacity: self.capacity,
-            rate,
-            available,
-            head,
-        };
-        (estimate, ahead.position)
-    }
-
-    /// Returns the time by which the first event of a request must be expected.
-    fn latest(&self, request: &WaitRequest) -> Millis {
-        match self.options.limit {
-            WaitLimit::Goal => request.goal.min(request.deadline),
-            WaitLimit::Deadline => request.deadline,
-        }
-    }
-
     pub(super) fn decide(
         &mut self,
         number: WaitNumber,
@@ -380,11 +300,6 @@
         }
     }
 
-    fn has_room(&self) -> bool {
-        let wait_ms = count(self.queue.len()) / self.rate() * 1000.0;
-        self.queue.len() < self.options.max_requests && wait_ms <= float(self.options.max_wait.0)
-    }
-
     /// Removes the request that is served last, if it is served after `position`.
     fn displace_after(&mut self, position: Position) -> bool {
         let last = self.queue.last_after(position);
@@ -445,16 +360,6 @@
         })
     }
 
-    /// Sets the rate at which work leaves this entry's queue: its part of the slots that become free
-    /// multiplied by the mean work of its requests.
-    fn set_queue_rate(&mut self) {
-        let loads = (0..RANKS).map(|rank| self.queue.load(rank));
-        let (own, work) = loads.fold((0, 0), |sum, load| (sum.0 + load.0, sum.1 + load.1));
-        let own = count(own).max(1.0);
-        let part = own / (own + self.peers.requests(RANKS - 1));
-        self.queue.rate = self.rate() * part * float(work) / own;
-    }
-
     /// Refuses a request that was removed from the queue.
     fn refuse_queued(
         &mut self,
@@ -569,7 +474,7 @@
     value as f64
 }
 
-fn count(value: usize) -> f64 {
+pub(super) fn count(value: usize) -> f64 {
     f64::from(u32::try_from(value).unwrap_or(u32::MAX))
 }
 
--- a/crates/cumin-entry/tests/all/waiting/sim.rs
+++ b/crates/cumin-entry/tests/all/waiting/sim.rs
@@ -237,10 +237,10 @@
             }
             for index in 0..self.entries.len() {
                 let offset = index as u64 * 7;
-                if (now + offset) % DIGEST.0 == 0 {
+                if (now + offset).is_multiple_of(DIGEST.0) {
                     self.send_digest(index, now);
                 }
-                if (now + offset) % RELEASE == 0 {
+                if (now + offset).is_multiple_of(RELEASE) {
                     self.release(index, now);
                 }
             }
