End the grace for endpoints of a restored store in time

The grace now counts from the first era in which a registration is missing, and a registration that is removed after the reading ends at once.

--- a/crates/cumin-entry/src/fleet.rs
+++ b/crates/cumin-entry/src/fleet.rs
@@ -218,16 +218,38 @@
     ///
     /// Endpoints that it lacks, or lists with an earlier start than is known, are kept for
     /// [`LAPSE_GRACE`], within which live endpoints register again. Endpoints that it lists although
-    /// their registrations had ended are left out until they register again.
+    /// their registrations had ended are left out until they register again. Further restores do not
+    /// extend the time, and a registration that is removed meanwhile ends at once: the endpoint
+    /// leaves.
     pub fn apply_restored(&mut self, mut listed: Vec<Endpoint>, now: Millis) -> Vec<Change> {
-        self.store_regained(now);
         listed.retain(|endpoint| {
             let known = self.get(&endpoint.name);
             let gone = self.gone.get(&endpoint.name);
             known.is_none_or(|known| known.started_ms <= endpoint.started_ms)
                 && gone.is_none_or(|(started_ms, _)| *started_ms < endpoint.started_ms)
         });
-        self.apply_listing(listed, now)
+        let is_missing = |name: &&EndpointName| !listed.iter().any(|known| known.name == **name);
+        let missing: Vec<EndpointName> = self
+            .registrations
+            .keys()
+            .filter(is_missing)
+            .cloned()
+            .collect();
+        let mut changes: Vec<Change> = listed.into_iter().map(|e| self.register(e)).collect();
+        changes.extend(missing.into_iter().map(|name| self.lapse(name, now)));
+        changes.retain(|change| *change != Change::None);
+        changes
+    }
+
+    /// Keeps an endpoint whose registration the store may have lost.
+    fn lapse(&mut self, name: EndpointName, now: Millis) -> Change {
+        let known = self.registrations.get_mut(&name);
+        if let Some(known) = known.filter(|known| !known.endpoint.draining) {
+            known.expires.get_or_insert(now.plus(LAPSE_GRACE.0));
+            return Change::Lapsed(name);
+        }
+        self.remove(&name, now);
+        Change::Gone(name)
     }
 
     /// Removes lapsed endpoints that did not register again in time.
--- a/crates/cumin-entry/tests/all/era.rs
+++ b/crates/cumin-entry/tests/all/era.rs
@@ -334,6 +334,22 @@
     assert_eq!(fleet.usable(&crate::engines(), now).count(), 0);
 }
 
+/// An endpoint left while the store returned with older copies, and got requests 2.6 s later: each
+/// new era extended its grace (soak seed 2).
+#[test]
+fn grace_ends() {
+    let mut fleet = Fleet::default();
+    for name in ["missing", "leaves"] {
+        fleet.register(endpoint(name));
+    }
+    fleet.apply_restored(vec![endpoint("leaves")], Millis(1000));
+    let gone = fleet.unregister(&"leaves".into(), Millis(1400));
+    assert_eq!(gone, Change::Gone("leaves".into()));
+    fleet.apply_restored(Vec::new(), Millis(2000));
+    let end = Millis(1000).plus(LAPSE_GRACE.0);
+    assert_eq!(fleet.usable(&crate::engines(), end).count(), 0);
+}
+
 /// The copy shows an endpoint whose registration had ended. It got requests again for the grace of
 /// 2.2 s, long after the bound on its leaving.
 #[test]
