--- a/crates/cumin-entry/src/selection.rs
+++ b/crates/cumin-entry/src/selection.rs
@@ -38,6 +38,7 @@
 
 pub use self::cache::{Part, PartList, SentPart, shared_parts};
 pub use self::choice::Choice;
+pub use self::cost::Inputs;
 use self::cost::{Lengths, MeanDemand, slot_wait};
 pub use self::digest::Placement;
 pub use self::load::NodeLoad;
--- a/crates/cumin-entry/src/selection/cost.rs
+++ b/crates/cumin-entry/src/selection/cost.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::fmt;
 
 use cumin_types::{Millis, Service};
 
@@ -69,6 +70,20 @@
         load.map_or(1.0, |load| load.speed.factor(endpoint.started_ms))
     }
 
+    /// Returns what is known of an endpoint, for the log line of a choice.
+    #[must_use]
+    pub fn inputs(&self, endpoint: &Endpoint, now: Millis) -> Inputs {
+        let load = self.loads.get(&endpoint.name);
+        let backlog = load.map(|load| load.backlog(self.pace(endpoint), now));
+        let backlog = backlog.unwrap_or_default();
+        Inputs {
+            time_factor: self.time_factor(endpoint),
+            running: backlog.running,
+            prefill_tokens: backlog.prefill_tokens,
+            output: backlog.output,
+        }
+    }
+
     /// Returns the times of an engine's work at its own speed.
     pub(super) fn pace(&self, endpoint: &Endpoint) -> Pace {
         let (factor, model) = (self.time_factor(endpoint), self.model(&endpoint.service));
@@ -170,6 +185,25 @@
     }
 }
 
+/// What a choice knows of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Inputs {
+    time_factor: f64,
+    running: f64,
+    prefill_tokens: f64,
+    output: f64,
+}
+
+impl fmt::Display for Inputs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "time_factor={:.2} running={:.1} prefill_tokens={:.0} output_tokens={:.0}",
+            self.time_factor, self.running, self.prefill_tokens, self.output
+        )
+    }
+}
+
 /// How well an endpoint suits a request; the least one suits best.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Rating {
--- a/crates/cumin-entry/tests/all/placement.rs
+++ b/crates/cumin-entry/tests/all/placement.rs
@@ -88,11 +88,7 @@
     /// Works for a millisecond.
     fn work(&mut self, engine: bool, slots: usize, mut heard: impl FnMut(&Job, Event)) {
         let mut budget = self.speed / if self.spell { SPELL_FACTOR } else { 1.0 };
-        if !engine {
-            for job in self.jobs.iter_mut().take(slots) {
-                job.rest -= budget;
-            }
-        } else {
+        if engine {
             let decoding = self.jobs.iter().filter(|job| job.unsent.is_some()).count();
             let token_ms = 4.0 + 0.1 * f64::from(u32::try_from(decoding).expect("few"));
             for job in self.jobs.iter_mut().take(slots) {
@@ -117,6 +113,10 @@
                     }
                 }
             }
+        } else {
+            for job in self.jobs.iter_mut().take(slots) {
+                job.rest -= budget;
+            }
         }
         self.jobs.retain(|job| {
             let ended = job.rest <= 0.0;
@@ -172,6 +172,27 @@
     value.round() as u64
 }
 
+/// Returns a request, the work until its first event, and the rest of its work.
+fn request(site: &Site, rng: &mut ChaCha8Rng) -> (Need, f64, f64) {
+    let prompt = (3000.0 * normal(rng).exp()).clamp(500.0, 40_000.0);
+    let length = (40.0 * normal(rng).exp()).clamp(5.0, 180.0) * EVENT_TOKENS;
+    let hint = length * normal(rng).exp();
+    let (prefill, rest) = if site.engine {
+        (prompt / 40.0 + 20.0, length)
+    } else {
+        (0.0, rng.random_range(30.0..90.0))
+    };
+    let need = Need {
+        prompt_tokens: if site.engine { whole(prompt) } else { 0 },
+        output_tokens: if site.engine { whole(hint) } else { 0 },
+        goal_left: site.goal,
+        time_left: Millis(10_000),
+        engine: site.engine,
+        ..Need::default()
+    };
+    (need, prefill, rest)
+}
+
 /// Share of late and refused requests, in percent.
 fn replay(site: &Site, policy: Policy, seed: u64) -> f64 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -230,22 +251,7 @@
         gossip(&mut nodes, &mut sent_at, &fleet, now, &mut rng);
         while rng.random_bool(site.per_second / (1000.0 + site.per_second)) {
             let node = rng.random_range(0..NODES);
-            let prompt = (3000.0 * normal(&mut rng).exp()).clamp(500.0, 40_000.0);
-            let length = (40.0 * normal(&mut rng).exp()).clamp(5.0, 180.0) * EVENT_TOKENS;
-            let hint = length * normal(&mut rng).exp();
-            let (prefill, rest) = if site.engine {
-                (prompt / 40.0 + 20.0, length)
-            } else {
-                (0.0, rng.random_range(30.0..90.0))
-            };
-            let need = Need {
-                prompt_tokens: if site.engine { whole(prompt) } else { 0 },
-                output_tokens: if site.engine { whole(hint) } else { 0 },
-                goal_left: site.goal,
-                time_left: Millis(10_000),
-                engine: site.engine,
-                ..Need::default()
-            };
+            let (need, prefill, rest) = request(site, &mut rng);
             asked += u32::from(counts);
             let work = prefill + if site.engine { 0.0 } else { rest };
             let best = servers.iter().min_by(|a, b| {
--- a/crates/cumin-serve/src/attempt.rs
+++ b/crates/cumin-serve/src/attempt.rs
@@ -402,6 +402,11 @@
             let first_ms = now.since(self.inbound.received_at);
             self.first_ms.set(Some(first_ms));
             node.metrics.first_seconds.observe(seconds(first_ms));
+            if self.estimate_ms > 0.0 {
+                let took_ms = seconds(now.since(flight.sent)) * 1000.0;
+                let ratio = took_ms / self.estimate_ms;
+                node.metrics.estimate_ratio.observe(ratio);
+            }
         }
         if let Some(org) = self.org {
             count_usage(node, &org.name);
--- a/crates/cumin-serve/src/gossip.rs
+++ b/crates/cumin-serve/src/gossip.rs
@@ -25,6 +25,7 @@
 use crate::feed;
 use crate::leaving;
 use crate::limit;
+use crate::metrics::SpeedLabel;
 use crate::node::{Node, Phase, saturating_i64};
 use crate::request::seconds;
 
@@ -423,6 +424,26 @@
 /// Pause after a failed announcement or listing.
 const ANNOUNCE_RETRY_PAUSE: Millis = Millis(300);
 
+/// States the least, median and greatest factor; one label an endpoint would have no bound.
+fn set_time_factors(node: &Node) {
+    let (fleet, selector) = (node.fleet.borrow(), node.selector.borrow());
+    let mut factors: Vec<f64> = fleet
+        .all()
+        .map(|endpoint| selector.time_factor(endpoint))
+        .collect();
+    factors.sort_by(f64::total_cmp);
+    let ranks = [
+        ("least", 0),
+        ("median", factors.len() / 2),
+        ("greatest", factors.len().saturating_sub(1)),
+    ];
+    for (rank, index) in ranks {
+        let factor = factors.get(index).copied().unwrap_or(f64::NAN);
+        let gauge = node.metrics.time_factor.get_or_create(&SpeedLabel { rank });
+        gauge.set(factor);
+    }
+}
+
 /// Updates the gauges before the metrics are read.
 pub(crate) fn update_gauges(node: &Node) {
     let now = node.now();
@@ -436,6 +457,7 @@
         .set(age_seconds(node.registrations.freshness.get().age_ms(now)));
     let token = node.lease.get().map_or(0, |(token, _)| token.0);
     metrics.lease_token.set(saturating_i64(token));
+    set_time_factors(node);
     let endpoints = node.fleet.borrow().all().count();
     metrics
         .endpoints
--- a/crates/cumin-serve/src/metrics.rs
+++ b/crates/cumin-serve/src/metrics.rs
@@ -25,6 +25,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of the speeds of endpoints: the least, the median or the greatest factor.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct SpeedLabel {
+    /// Which of the factors.
+    pub(crate) rank: &'static str,
+}
+
 /// Labels of a call to the store.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct StoreCallLabels {
@@ -47,6 +54,8 @@
     pub(crate) connections: Counter,
     pub(crate) first_seconds: Histogram,
     pub(crate) total_seconds: Histogram,
+    pub(crate) estimate_ratio: Histogram,
+    pub(crate) time_factor: Family<SpeedLabel, Gauge<f64, AtomicU64>>,
     pub(crate) revision: Gauge,
     pub(crate) document_age: Gauge<f64, AtomicU64>,
     pub(crate) registry_age: Gauge<f64, AtomicU64>,
@@ -67,6 +76,21 @@
     Histogram::new(exponential_buckets(0.001, 2.0, 15))
 }
 
+impl Metrics {
+    fn register_placement(&self, registry: &mut Registry) {
+        registry.register(
+            "estimate_ratio",
+            "Measured time to the first event or answer, divided by its estimate",
+            self.estimate_ratio.clone(),
+        );
+        registry.register(
+            "endpoint_time_factor",
+            "Times of endpoints relative to the model of their service",
+            self.time_factor.clone(),
+        );
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("cumin");
@@ -78,6 +102,12 @@
             connections: Counter::default(),
             first_seconds: duration_histogram(),
             total_seconds: duration_histogram(),
+            estimate_ratio: Histogram::new(exponential_buckets(
+                0.125,
+                std::f64::consts::SQRT_2,
+                13,
+            )),
+            time_factor: Family::default(),
             revision: Gauge::default(),
             document_age: Gauge::default(),
             registry_age: Gauge::default(),
@@ -125,6 +155,7 @@
             "Time from a request to the end of its answer",
             m.total_seconds.clone(),
         );
+        m.register_placement(&mut registry);
         registry.register("revision", "Revision in force", m.revision.clone());
         registry.register(
             "document_age_seconds",
--- a/crates/cumin-serve/src/request.rs
+++ b/crates/cumin-serve/src/request.rs
@@ -300,15 +300,18 @@
             );
         }
         let choice = selector.choose(&fleet, self.service, need, &avoid, now);
-        drop(selector);
         let Choice::Use {
             endpoint,
             estimate_ms,
             cached,
         } = choice
         else {
+            drop(selector);
             return Err(self.refuse_choice(&choice, &blocked, need, now));
         };
+        let chosen = fleet.get(&endpoint).cloned();
+        let inputs = chosen.as_ref().map(|chosen| selector.inputs(chosen, now));
+        drop(selector);
         let nodes = self.node.sharing_nodes();
         if is_retry
             && self.attempts_sent > 0
@@ -320,13 +323,15 @@
         }
         log::debug!(
             "event=placed id={} endpoint={endpoint} estimate_ms={estimate_ms:.0} cached={cached} \
-             blocked={} waiting={}",
+             prompt_tokens={} goal_left_ms={} blocked={} waiting={} {}",
             self.id(),
+            need.prompt_tokens,
+            need.goal_left,
             blocked.endpoints.len(),
-            blocked.waiting
+            blocked.waiting,
+            inputs.map_or_else(String::new, |inputs| inputs.to_string())
         );
         limits.request_sent(&endpoint, now);
-        let chosen = fleet.get(&endpoint).cloned();
         let refused = (DEFAULT_RETRY_AFTER, "no_endpoint", String::new());
         chosen
             .map(|endpoint| (endpoint, estimate_ms))
