--- a/crates/cumin-serve/tests/all/usage_reports.rs
+++ b/crates/cumin-serve/tests/all/usage_reports.rs
@@ -85,8 +85,8 @@
     };
     let payload = postcard::to_stdvec(&digest).unwrap();
     let mut payload = postcard::to_extend(&Extension::default(), payload).unwrap();
-    // No parts, limits, reads and leaving endpoints.
-    payload.extend([0; 4]);
+    // No parts, limits, reads, leaving endpoints and era.
+    payload.extend([0; 5]);
     postcard::to_extend(&Some(span), payload).unwrap()
 }
 
