--- a/crates/cumin-entry/src/selection/choice.rs
+++ b/crates/cumin-entry/src/selection/choice.rs
@@ -73,8 +73,7 @@
     }
 
     fn choose_among(&mut self, open: &[&Endpoint], need: &Need, now: Millis) -> Choice {
-        let mut sampled = open.to_vec();
-        self.sample(&mut sampled, need);
+        let mut sampled = self.sample(open, need);
         if !need.engine && self.nodes >= MIN_RANDOM_NODES {
             self.keep_random(&mut sampled, now);
         }
@@ -114,23 +113,36 @@
         rated.min_by(|(_, a), (_, b)| a.compare(b))
     }
 
-    /// Reduces the endpoints to the home endpoints of the prompt's prefix and a random sample.
-    fn sample(&mut self, open: &mut Vec<&Endpoint>, need: &Need) {
+    /// Returns the home endpoints of the prompt's prefix and a random sample.
+    fn sample<'a>(&mut self, open: &[&'a Endpoint], need: &Need) -> Vec<&'a Endpoint> {
         let random = (2 * open.len())
             .div_ceil(self.nodes)
             .max(self.options.min_sample);
         self.draws += 1;
+        let mut open = open.to_vec();
         if open.len() <= random + HOME_ENDPOINTS {
-            return;
+            return open;
         }
-        let homes = need.parts.iter().rev().nth(1).map_or(0, |_| HOME_ENDPOINTS);
-        if let Some(part) = need.parts.iter().rev().nth(1) {
-            let key = part.id.to_le_bytes();
-            open.sort_by_cached_key(|e| std::cmp::Reverse(score(&key, e.name.as_str())));
+        let prefix = need.parts.iter().rev().nth(1);
+        let homes = prefix.map_or(0, |_| HOME_ENDPOINTS);
+        if let Some(part) = prefix {
+            move_highest(&mut open, homes, &part.id.to_le_bytes());
         }
         let key = format!("{}{}", self.options.node, self.draws);
-        open[homes..]
-            .sort_by_cached_key(|e| std::cmp::Reverse(score(key.as_bytes(), e.name.as_str())));
+        move_highest(&mut open[homes..], random, key.as_bytes());
         open.truncate(homes + random);
+        open
+    }
+}
+
+/// Moves the `count` endpoints with the highest hashes to the front, in any order; fewer than all.
+fn move_highest(endpoints: &mut [&Endpoint], count: usize, key: &[u8]) {
+    let mut hashed: Vec<(u64, &Endpoint)> = endpoints
+        .iter()
+        .map(|endpoint| (score(key, endpoint.name.as_str()), *endpoint))
+        .collect();
+    hashed.select_nth_unstable_by_key(count, |(hash, _)| std::cmp::Reverse(*hash));
+    for (place, (_, endpoint)) in endpoints.iter_mut().zip(hashed) {
+        *place = endpoint;
     }
 }
