--- a/crates/cumin-entry/tests/all/placement.rs
+++ b/crates/cumin-entry/tests/all/placement.rs
@@ -352,6 +352,43 @@
     (1..=2).map(|seed| replay(site, policy, seed)).sum::<f64>() / 2.0
 }
 
+/// A slow endpoint must not change the factors of the others; a factor holds for one start, and what
+/// a peer stated ends after 10 s.
+#[test]
+fn factors() {
+    let mut fleet = Fleet::default();
+    for name in ["e0", "e1", "e2", "e3"] {
+        fleet.register(endpoint(name));
+    }
+    let (mut own, mut peer) = (selector(0), selector(1));
+    let mut placement = own.own_placement(Millis(0));
+    for step in 0..200 {
+        for (n, took) in [150, 60, 60, 60].into_iter().enumerate() {
+            let known = endpoint(&format!("e{n}"));
+            let at = Millis(step * 200);
+            let id = own.attempt_sent(&known, &Need::default(), 0, 0.0, at);
+            own.attempt_ended(&known.name, id, true, at.plus(took));
+        }
+        own.combine_speeds(&fleet, Millis(step * 200));
+        placement = own.own_placement(Millis(step * 200));
+    }
+    assert_eq!(placement.speeds.len(), 4);
+    let slow = own.time_factor(&endpoint("e0"));
+    let other = own.time_factor(&endpoint("e1"));
+    assert!((1.3..2.5).contains(&slow), "{slow}");
+    assert!((0.6..1.1).contains(&other) && slow > 1.8 * other, "{other}");
+    let restarted = Endpoint {
+        started_ms: 2,
+        ..endpoint("e0")
+    };
+    assert!((own.time_factor(&restarted) - 1.0).abs() < 1e-9);
+    peer.merge_placement("n0", &[], &placement, Millis(0));
+    peer.combine_speeds(&fleet, Millis(9999));
+    assert!(peer.time_factor(&endpoint("e0")) > 1.3);
+    peer.combine_speeds(&fleet, Millis(10_000));
+    assert!((peer.time_factor(&endpoint("e0")) - 1.0).abs() < 1e-9);
+}
+
 #[test]
 #[ignore = "a measurement, run by hand"]
 fn shares() {
