--- a/crates/cumin-bench/benches/place.rs
+++ b/crates/cumin-bench/benches/place.rs
@@ -22,6 +22,7 @@
             draining: false,
             leaves_at: None,
             spot: false,
+            version: None,
             started_ms: 1,
         });
     }
--- a/crates/cumin-entry/tests/all/placement.rs
+++ b/crates/cumin-entry/tests/all/placement.rs
@@ -4,7 +4,7 @@
 //! 8 to 14 of 100 requests were late at a site of this kind.
 
 use cumin_entry::fleet::{Endpoint, Fleet};
-use cumin_entry::selection::{Choice, Need, Selector, SelectorOptions};
+use cumin_entry::selection::{Choice, Need, Placement, Selector, SelectorOptions};
 use cumin_types::{EndpointName, Millis};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -300,6 +300,11 @@
     selector
 }
 
+fn next_placement(node: &mut Selector, at: Millis) -> Placement {
+    let speeds = node.next_speeds(at);
+    node.own_placement(speeds, at)
+}
+
 /// Each node sends a digest every 250 ms, at a time of its own; one in ten is lost.
 fn gossip(
     nodes: &mut [Selector],
@@ -318,8 +323,7 @@
         nodes[from].combine_fits(at);
         nodes[from].combine_speeds(fleet, at);
         let (loads, fits) = (nodes[from].own_loads(), nodes[from].own_fits(at));
-        let speeds = nodes[from].next_speeds(at);
-        let placement = nodes[from].own_placement(speeds, at);
+        let placement = next_placement(&mut nodes[from], at);
         let name = format!("n{from}");
         for to in (0..NODES).filter(|to| *to != from) {
             if rng.random_bool(0.9) {
@@ -362,7 +366,7 @@
         fleet.register(endpoint(name));
     }
     let (mut own, mut peer) = (selector(0), selector(1));
-    let mut placement = own.own_placement(Millis(0));
+    let mut placement = next_placement(&mut own, Millis(0));
     for step in 0..200 {
         for (n, took) in [150, 60, 60, 60].into_iter().enumerate() {
             let known = endpoint(&format!("e{n}"));
@@ -371,7 +375,7 @@
             own.attempt_ended(&known.name, id, true, at.plus(took));
         }
         own.combine_speeds(&fleet, Millis(step * 200));
-        placement = own.own_placement(Millis(step * 200));
+        placement = next_placement(&mut own, Millis(step * 200));
     }
     assert_eq!(placement.speeds.len(), 4);
     let slow = own.time_factor(&endpoint("e0"));
--- a/crates/cumin-serve/tests/all/main.rs
+++ b/crates/cumin-serve/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod answer_framing;
 mod answers;
 mod crashing_part;
+mod digest_rounds;
 mod early_refusals;
 mod endless;
 mod endpoint_limit;
