--- a/crates/cumin-entry/tests/all/rollout.rs
+++ b/crates/cumin-entry/tests/all/rollout.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cumin_entry::era::Era;
 use cumin_entry::rollout::evidence::Outcome;
 use cumin_entry::rollout::exposure::ExposeBounds;
 use cumin_entry::rollout::{
@@ -295,3 +296,29 @@
     assert!(!reaches(&mut rollouts, &all, "v2", 10_000));
     assert!(reaches(&mut rollouts, &all, "v2", 15_000));
 }
+
+/// After a restore of the store, the operator's order that is written again would have exposed a
+/// version that was rolled back, and the status would have been lost.
+#[test]
+fn store_restored() {
+    let mut rollouts = rollouts();
+    let all = endpoints(&["v1", "v2"]);
+    let versions = ["v1", "v2"];
+    let mut see = |rollouts: &mut Rollouts, era: u64, offset: u64, now: u64| {
+        let position = Era(era).position(LogOffset(offset));
+        rollouts.order_seen(order("v2", 0), position, 1, None, Millis(now));
+    };
+    see(&mut rollouts, 1, 5, 10_000);
+    let status = decide(&mut rollouts, &versions, 10_500);
+    assert_eq!(state(status), Some(RolloutState::RolledBack));
+    rollouts.store_restored();
+    see(&mut rollouts, 2, 3, 11_000);
+    let status = decide(&mut rollouts, &versions, 11_500);
+    assert_eq!(state(status), Some(RolloutState::RolledBack));
+    assert!(!reaches(&mut rollouts, &all, "v2", 12_000));
+    // A further order of the same era is a new one.
+    rollouts.take_events();
+    see(&mut rollouts, 2, 4, 12_500);
+    let events = rollouts.take_events();
+    assert!(events.iter().any(|e| e.text.contains("decision=begun")));
+}
