--- a/crates/cumin-entry/tests/all/rollout.rs
+++ b/crates/cumin-entry/tests/all/rollout.rs
@@ -304,7 +304,7 @@
     let mut rollouts = rollouts();
     let all = endpoints(&["v1", "v2"]);
     let versions = ["v1", "v2"];
-    let mut see = |rollouts: &mut Rollouts, era: u64, offset: u64, now: u64| {
+    let see = |rollouts: &mut Rollouts, era: u64, offset: u64, now: u64| {
         let position = Era(era).position(LogOffset(offset));
         rollouts.order_seen(order("v2", 0), position, 1, None, Millis(now));
     };
