Add a review case: two usage reports with different counts for one window

The counts of a usage window are fixed by a record of the topic duty. If the store drops its history, a later holder of the duty finds no record, and fixes and sends counts that lack those of the entries' earlier processes. The script restarts three entries in turn and has the store drop its history after a report.

--- /dev/null
+++ b/review/cases/main.rs
@@ -0,0 +1,59 @@
+//! Scripts of the second review. Usage: `cases CASE RECORD`, from the repository's root. The
+//! disruption is left out if `TROUBLE` is 0. Exits with 1 if the rule was broken, 0 if it held, and 2
+//! if the case couldn't run.
+
+mod deployment;
+mod forgotten;
+mod http;
+mod record;
+mod store;
+mod worker;
+
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use crate::record::Record;
+
+/// How a case ended.
+pub enum End {
+    Held,
+    Broken,
+    NotRun(String),
+}
+
+/// Returns the time of day in Unix milliseconds.
+pub fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.expect("a time after 1970").as_millis()).expect("a time in range")
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, path] = arguments.as_slice() else {
+        eprintln!("usage: cases CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").is_ok_and(|value| value == "0");
+    let record = Record::new(path);
+    record.line(format!("case={case} disruption={}", !trouble));
+    let end = match case.as_str() {
+        "forgotten" => forgotten::run(&record, !trouble),
+        _ => End::NotRun(format!("no case {case}")),
+    };
+    let code = match end {
+        End::Held => {
+            record.line("the rule held");
+            0
+        }
+        End::Broken => {
+            record.line("the rule was broken");
+            1
+        }
+        End::NotRun(reason) => {
+            record.line(format!("not run: {reason}"));
+            2
+        }
+    };
+    record.write();
+    ExitCode::from(code)
+}
