Add a review case: a withdrawn key works at an entry that starts after a drill

An entry that starts while a restored store holds an older document takes a copy that was never proven for a fresh one, because the sum of its unknown age and a margin overflows. It then accepts keys that were taken away.

--- a/review/cases/main.rs
+++ b/review/cases/main.rs
@@ -6,6 +6,7 @@
 mod forgotten;
 mod http;
 mod record;
+mod revoked;
 mod store;
 mod worker;
 
@@ -37,6 +38,7 @@
     let record = Record::new(path);
     record.line(format!("case={case} disruption={}", !trouble));
     let end = match case.as_str() {
+        "revoked" => revoked::run(&record, !trouble),
         "forgotten" => forgotten::run(&record, !trouble),
         _ => End::NotRun(format!("no case {case}")),
     };
