--- a/review/cases/record.rs
+++ b/review/cases/record.rs
@@ -1,7 +1,7 @@
 //! The record of a case: what was sent, answered and run.
 
 use std::fmt::Write as _;
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
 pub struct Record {
@@ -26,13 +26,13 @@
 
     pub fn line_at(&self, at: Instant, line: impl AsRef<str>) {
         let seconds = at.saturating_duration_since(self.since).as_secs_f64();
-        let mut text = self.text.lock().unwrap();
+        let mut text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
         let _ = writeln!(text, "{seconds:8.3} {}", line.as_ref());
     }
 
     /// Writes the lines in the order of their times.
     pub fn write(&self) {
-        let text = self.text.lock().unwrap();
+        let text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
         let mut lines: Vec<&str> = text.lines().collect();
         lines.sort_by(|a, b| {
             let seconds = |line: &str| line[..8].trim().parse::<f64>().unwrap_or(0.0);
