--- a/review/cases/cut.rs
+++ b/review/cases/cut.rs
@@ -139,6 +139,10 @@
         }
         sleep(Duration::from_secs(1));
     }
+    // What the entry knows of the workers; the judgement doesn't use it.
+    for line in deployment.entries[0].log_lines("event=endpoint_unreachable") {
+        record.line(format!("the entry's log: {line}"));
+    }
     if broken { End::Broken } else { End::Held }
 }
 
